End peers that send no whole request within 3 s of connecting

From 10 s on nearly every reply was late although servers answered as before: the 99th percentile from taking a request to its first attempt was 3.5 s, and 206 of 384 descriptors were open.

Good and bad stretch compared, by logging each caller's connection: in the first 5 s at most 60 connections were open and none lived past 4 s; from 10 s on there were always 175, the limit, and 335 connections closed at 6 to 10 s of age, nearly all with no byte read. So clients waited in the kernel's queue for a place held by peers that were silent or sent half a request.

Ruled out: the module (requests it had were sent at once), the servers (their median stayed), descriptors towards servers (163 at most, with room left).

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -28,9 +28,9 @@
 	healthPath   = "/_health"
 	maxID        = 256
 	maxDeadline  = time.Hour
-	wayBack      = 10 * time.Millisecond // kept of a deadline for the way here and back: 0.4 ms here (p99), the rest the network's
-	headTimeout  = 10 * time.Second
-	bodyTimeout  = 5 * time.Second
+	wayBack      = 10 * time.Millisecond  // kept of a deadline for the way here and back: 0.4 ms here (p99), the rest the network's
+	headTimeout  = 2 * time.Second        // with bodyTimeout it keeps under the 3 s in which an improper peer is owed an end
+	bodyTimeout  = 800 * time.Millisecond // a body is 64 KiB at most, and follows its head
 	writeTimeout = 5 * time.Second
 	callersIdle  = 5 * time.Minute
 )
