Refuse requests framed by Transfer-Encoding, which could hide others

Ruled out: our own writing of bodies towards servers (each attempt logged carried one request with its true length), and bodies left unread after an error (those connections were closed).

At fault: internal/sidecar/server.go trusted net/http to end such connections. It takes Transfer-Encoding for right, deletes Content-Length before a handler sees it, and goes on reading (RFC 9112, 6.1 and 11.2). Since the two can't be told apart there, a request with Transfer-Encoding is answered 411 and its connection closed; callers state lengths. HTTP/1.0 requests with a body, where Transfer-Encoding is ignored without a trace, are turned away for the same reason.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -55,11 +55,14 @@
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := s.loop.clock.now()
 	w = &closing{w, &s.ending}
+	if status, err := checkFraming(r); err != nil {
+		reject(w, status, err)
+		return
+	}
 	// The body comes first: net/http would wait without limit for the rest of one that was not read.
 	body, status, err := s.readBody(w, r)
 	if err != nil {
-		w.Header().Set("Connection", "close") // the rest of the body may still come
-		http.Error(w, err.Error(), status)
+		reject(w, status, err)
 		return
 	}
 	if r.URL.Path == healthPath {
@@ -83,6 +86,26 @@
 	}
 }
 
+// reject answers what is no proper request and ends its connection: whatever follows on it, the rest of a body or a
+// request hidden in one, is never read.
+func reject(w http.ResponseWriter, status int, err error) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, err.Error(), status)
+}
+
+// checkFraming guards against a request hidden in the body of another (RFC 9112, 11.2). net/http drops a
+// Content-Length that comes with Transfer-Encoding before a handler can see it, and Transfer-Encoding from HTTP/1.0,
+// and reads on behind what it takes for the end. Callers state lengths, so no other framing is taken.
+func checkFraming(r *http.Request) (status int, err error) {
+	switch {
+	case len(r.TransferEncoding) > 0:
+		return http.StatusLengthRequired, errors.New("Content-Length: wanted, without Transfer-Encoding")
+	case r.ContentLength != 0 && !r.ProtoAtLeast(1, 1):
+		return http.StatusHTTPVersionNotSupported, errors.New("a body is not taken in this version")
+	}
+	return 0, nil
+}
+
 // closing is a ResponseWriter that says Connection: close once the sidecar is about to end.
 type closing struct {
 	http.ResponseWriter
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -95,3 +97,35 @@
 		}
 	})
 }
+
+// Seen on the same day: where Content-Length and Transfer-Encoding disagree, the request that stood inside the body
+// of another was taken for one of its own.
+func TestARequestHiddenInABodyReachesNoEndpoint(t *testing.T) {
+	e := newEndpoint(t, says(served, true))
+	s := run(t, e.addr)
+	const hidden = "GET /look HTTP/1.1\r\nHost: h\r\nReq-Id: hidden\r\nReq-Deadline-Ms: 6000\r\n\r\n"
+	const fields = "Host: h\r\nReq-Id: r1\r\nReq-Deadline-Ms: 6000\r\n"
+	for name, text := range map[string]string{
+		"length, then chunks": "POST /pay HTTP/1.1\r\n" + fields + fmt.Sprintf("Content-Length: %d\r\n", 5+len(hidden)) +
+			"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+		"chunks, then length": "POST /pay HTTP/1.1\r\n" + fields + "Transfer-Encoding: chunked\r\n" +
+			fmt.Sprintf("Content-Length: %d\r\n\r\n0\r\n\r\n", 5+len(hidden)) + hidden,
+		"chunks over HTTP/1.0": "POST /pay HTTP/1.0\r\n" + fields + "Connection: keep-alive\r\nTransfer-Encoding: chunked\r\n" +
+			"Content-Length: 3\r\n\r\n" + fmt.Sprintf("%x\r\n", len(hidden)) + hidden + "\r\n0\r\n\r\n",
+	} {
+		nc, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		io.WriteString(nc, text)
+		nc.SetReadDeadline(time.Now().Add(patience))
+		answers, err := io.ReadAll(nc) // to the end of the connection
+		if n := strings.Count(string(answers), "HTTP/1."); err != nil || n != 1 || strings.Contains(string(answers), "200 OK") {
+			t.Errorf("%s: %d answers, %v: %q", name, n, err, answers)
+		}
+	}
+	if n := e.requests.Load(); n != 0 {
+		t.Errorf("%d requests reached the endpoint", n)
+	}
+}
