Turn away requests of no listed class or in a form their class rules out

With the first two mended, 20% of the requests of some stretches still failed, and servers had answered none of them with an error of their own.

They answered requests for classes that no setting lists (form-lookups, form-lookup2, return-submit-old), safe work by POST, and ids already used. Peers sent these thousands at a time down one connection. Each went to the module as a request, took room, and came back as an error of the endpoint that had answered, which was then dropped or passed over for real requests.

Ruled out: errors of the servers themselves (none in the report's err column in those stretches), resets and failed connections (none).

At fault: read in internal/sidecar/server.go took any class and either method. A class that nobody lists is 404 now, a method or body that the class rules out 405, and after such an answer the connection is closed, so that what was sent behind it is not read.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -56,9 +56,9 @@
 	// Beyond the budget callers wait in the kernel's queue, which costs no descriptor and loses nothing.
 	conns := &callers{Listener: netutil.LimitListener(listener, max(each, 8)+spareCallers), most: max(each, 8), open: map[*callerConn]bool{}}
 
-	s := &server{loop: l, keyed: map[string]bool{}, host: c.Listen, log: log, bodyTimeout: bodyTimeout}
+	s := &server{loop: l, effects: map[string]tuliprock.Effect{}, host: c.Listen, log: log, bodyTimeout: bodyTimeout}
 	for _, class := range settings.Classes {
-		s.keyed[class.Name] = class.Effect == tuliprock.Keyed
+		s.effects[class.Name] = class.Effect
 	}
 	return &Sidecar{server: s.http(conns.track), callers: s, conns: conns, loop: l, upstream: up, discovery: d}, nil
 }
