Never answer 200 to a caller that has ended its sending

Evidence: in the log of callers' bytes every such answer is a bare 200 with Content-Length: 0 right after the end of the caller's stream was read. Servers' answers always carry a body. Ruled out: an answer of one request given to another (no server's answer was empty), the health path (its body is "ok").

At fault: ServeHTTP in internal/sidecar/server.go returned without writing when the caller had gone, and net/http turns that into 200. A caller that closed only its own side reads it. It gets the failed answer now.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -81,6 +81,7 @@
 		write(w, a)
 	case <-r.Context().Done():
 		s.loop.post(func(now time.Duration) { s.loop.leave(now, c) })
+		write(w, reply{status: statusFailed}) // net/http would answer 200 for us, and one half-closed may still read
 	case <-s.loop.done:
 		write(w, reply{status: statusFailed})
 	}
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -1,11 +1,13 @@
 package sidecar
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -129,3 +131,29 @@
 		t.Errorf("%d requests reached the endpoint", n)
 	}
 }
+
+// Seen on the same day: a caller that ended its sending before the answer was told 200, which no endpoint had said.
+func TestACallerThatEndsItsSendingIsNotServed(t *testing.T) {
+	e := newEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
+		nc.Read(make([]byte, 1)) // until the attempt is called off
+		return false
+	})
+	s := run(t, e.addr)
+	nc, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	if err := s.request(t, http.MethodGet, "/look", "r1", 60000).Write(nc); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the request is passed on", func() bool { return e.requests.Load() > 0 })
+	if err := nc.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	nc.SetReadDeadline(time.Now().Add(patience))
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil || resp.StatusCode != statusFailed {
+		t.Errorf("answered %v, %v", resp, err)
+	}
+}
