Take an endpoint for cold only after two breaks with no answer between

The sidecar refused a third of the requests of its later stretches, each 0.125 s after it came, while the room for calls was 24 and only 8 to 16 were out.

Evidence, from each attempt's outcome and the module's state at each final answer: about 3% of all attempts, to any endpoint and at any age from 0 s on, ended as reset, on new connections as on kept ones. After each, the endpoint's warmth read 0.31 and rose for 9 s. With three or four endpoints at the front one or two were always held to a cold one's share, calls found nobody allowed, and the load went to the one left, which held up to 20 calls and turned slow.

Ruled out: connections that stood too long (endpoints close idle ones after 0.25 to 0.6 s instead of the 30 s stated, but the close is seen before the next use), the room for calls (it was not used up), drops from the active set (three of three were active while calls were refused).

At fault: judge in balancer.go took a single Reset for proof that the process had gone down. Now it takes two breaks, or a reset and a failed connection, with no answer between. A process that dies breaks all its connections and refuses new ones, so that it is still found out; a caller with one call out there has too little load to push it over.

The first 5 s are still bad.

--- a/balancer.go
+++ b/balancer.go
@@ -480,8 +480,8 @@
 		if failed = b.s.TiersBelow == 0 || e.errors > blame*b.errors; !failed {
 			r = NotSent // the tier below fails for all alike: says nothing of this endpoint, good or bad
 		}
-	case Reset: // it went down: cold when it answers again
-		e.Started = max(e.Started, now)
+	case Reset, ConnectFailed:
+		b.broke(now, e, r)
 	}
 	if r == Canceled || r == NotSent { // no sample, but a trial called off because it was overdue has failed
 		if a.trial {
@@ -500,6 +500,18 @@
 	}
 }
 
+// broke takes a broken or failed connection. One reset may be the network's and says nothing of the process.
+// Only if no answer comes between it and the next break has the endpoint gone down, and is cold when it is
+// back. It guards against a warm endpoint on a cold one's share, while the others get its calls.
+func (b *Balancer) broke(now time.Duration, e *endpoint, r Result) {
+	if e.brokeAt > e.answeredAt {
+		e.Started = max(e.Started, now)
+	}
+	if r == Reset {
+		e.brokeAt = now
+	}
+}
+
 // w is the endpoint's weight: what its kind usually takes, moved by what it took itself. Alone, a quiet
 // caller's few samples cannot tell a slow machine from a heavy call.
 func (e *endpoint) w() float64 { return e.kind.w * (prior + e.sum) / (prior + e.samples) }
--- a/state.go
+++ b/state.go
@@ -18,6 +18,7 @@
 	sum, samples float64       // smoothed samples over the kind's weight, and how many they are worth
 	sampledAt    time.Duration // latest sample
 	answeredAt   time.Duration // latest answer
+	brokeAt      time.Duration // latest reset
 	backoff      time.Duration // wait between trials
 	trialAt      time.Duration // next trial, while not active
 	trial        bool          // the single trial is out
