Follow discovery to its new address on SIGHUP instead of ending

Nothing took the signal, so that Go's default ended the process.

The signal is caught from the first line of run on. The configuration is read again, the watch at the old address is ended, and the whole list is had from the new one, since its versions need not follow the old one's. A file that can't be read leaves the old configuration in force.

--- a/cmd/tuliprock/main.go
+++ b/cmd/tuliprock/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 
 	"tuliprock/internal/sidecar"
@@ -29,6 +30,9 @@
 
 // run serves until SIGTERM or SIGINT has come and all that was taken has been answered.
 func run() error {
+	hup := make(chan os.Signal, 1) // first of all: unheeded, the signal would end the process
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	c, err := sidecar.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -44,5 +48,28 @@
 	if err != nil {
 		return err
 	}
+	reloads, stopReloads := context.WithCancel(context.Background())
+	var reloader sync.WaitGroup
+	reloader.Go(func() { reload(reloads, hup, s, log) })
+	defer reloader.Wait()
+	defer stopReloads()
 	return s.Serve(ctx)
 }
+
+// reload reads the configuration again at each signal until ctx ends. One that can't be read leaves all as it is.
+func reload(ctx context.Context, hup <-chan os.Signal, s *sidecar.Sidecar, log *slog.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		c, err := sidecar.LoadConfig(os.Getenv)
+		if err != nil {
+			log.Error("reload: the old configuration stays", "err", err)
+			continue
+		}
+		s.Reload(c)
+		log.Info("reloaded", "discovery", c.Discovery)
+	}
+}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"tuliprock"
@@ -80,7 +81,11 @@
 
 // discovery follows the list of endpoints.
 type discovery struct {
-	addr    string
+	mu    sync.Mutex
+	addr  string             // guarded by mu, as are the next two
+	moved bool               // since the latest watch began
+	stop  context.CancelFunc // ends the watch that is on
+
 	onAsk   bool          // only a Subscribe starts a watch, and its end is reported
 	asked   chan struct{} // a Subscribe waits here
 	version *int64        // of the latest message; nil: the whole list is wanted
@@ -100,6 +105,31 @@
 	}
 }
 
+// move turns to another address: the watch at the old one ends, and the list is had anew.
+func (d *discovery) move(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if addr == d.addr {
+		return
+	}
+	d.addr, d.moved = addr, true
+	if d.stop != nil {
+		d.stop()
+	}
+}
+
+// begin gives the context of a new watch and the address to keep it at.
+func (d *discovery) begin(ctx context.Context) (context.Context, context.CancelFunc, string) {
+	ctx, cancel := context.WithCancel(ctx)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.moved {
+		d.moved, d.version = false, nil
+	}
+	d.stop = cancel
+	return ctx, cancel, d.addr
+}
+
 // run keeps a watch until ctx ends. A watch that breaks leaves the old list standing; the next one asks for what
 // has changed since.
 func (d *discovery) run(ctx context.Context) {
@@ -148,18 +178,18 @@
 
 // follow keeps one watch, after a whole list if one is wanted, and tells whether it brought anything.
 func (d *discovery) follow(ctx context.Context) (heard bool, err error) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel, addr := d.begin(ctx)
 	defer cancel()
 	watchdog := time.AfterFunc(d.silence, cancel)
 	defer watchdog.Stop()
 	if d.version == nil {
-		if err := d.list(ctx); err != nil {
+		if err := d.list(ctx, addr); err != nil {
 			return false, err
 		}
 		heard = true
 		watchdog.Reset(d.silence)
 	}
-	body, err := d.get(ctx, "?watch=1&after="+strconv.FormatInt(*d.version, 10))
+	body, err := d.get(ctx, addr, "?watch=1&after="+strconv.FormatInt(*d.version, 10))
 	if err != nil {
 		return heard, err
 	}
@@ -184,8 +214,8 @@
 }
 
 // list gets the whole list once.
-func (d *discovery) list(ctx context.Context) error {
-	body, err := d.get(ctx, "")
+func (d *discovery) list(ctx context.Context, addr string) error {
+	body, err := d.get(ctx, addr, "")
 	if err != nil {
 		return err
 	}
@@ -197,8 +227,8 @@
 	return d.take(text)
 }
 
-func (d *discovery) get(ctx context.Context, query string) (io.ReadCloser, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr+membersPath+query, nil)
+func (d *discovery) get(ctx context.Context, addr, query string) (io.ReadCloser, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+membersPath+query, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -139,6 +139,20 @@
 	f.expectCalls(t, "watch=1&after=41", "watch=1&after=42")
 }
 
+// What the new address knows may have nothing to do with the old one's versions.
+func TestAMoveHasTheListAnewAtTheNewAddress(t *testing.T) {
+	f := follow(t, 41, nil, members(42, false)+"\nSILENT")
+	f.expectVersions(t, 42)
+	next := &script{steps: []string{members(7, true), members(8, false) + "\nSILENT"}, calls: make(chan string, 100)}
+	server := httptest.NewServer(next)
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections) // the watch is still on
+	f.move(server.Listener.Addr().String())
+	f.expectVersions(t, 7, 8)
+	f.calls = next.calls
+	f.expectCalls(t, "", "watch=1&after=7")
+}
+
 func TestEntriesAreRead(t *testing.T) {
 	m, err := parseMembers([]byte(members(3, true, member("a", "127.0.0.1:1", "Ready"), member("b", "", "Gone"))))
 	if err != nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -66,6 +66,9 @@
 // Addr is where the sidecar listens.
 func (s *Sidecar) Addr() net.Addr { return s.conns.Addr() }
 
+// Reload takes up what of a new configuration may change while requests are served: where discovery is.
+func (s *Sidecar) Reload(c Config) { s.discovery.move(c.Discovery) }
+
 // Serve serves until ctx ends and then until all that was taken has been answered.
 func (s *Sidecar) Serve(ctx context.Context) error {
 	work, stop := context.WithCancel(context.Background())
