Take only a stretch of 2.0 for a crowd: ordinary load makes 1.8

crowded is 2.0 now, and the most that one answer can show is raised with it, so that a caller of few calls still cuts as fast as before. The room grows as it did.

--- a/balancer.go
+++ b/balancer.go
@@ -32,10 +32,10 @@
 	roomStart   = 6.0                    // calls out for each endpoint before anything is known
 	roomCut     = 0.5                    // the room shrinks to this share at most, every half answer time
 	roomMemory  = 2 * time.Second        // a stretch this old counts 1/e there
-	crowded     = 1.6                    // stretch of recent answers from which it shrinks
+	crowded     = 2.0                    // stretch of recent answers from which it shrinks: 1.8 is ordinary
 	roomGrowth  = 0.2                    // it grows by this with each answer while it is used up,
 	roomy       = 1.5                    // times what the stretch is short of this
-	roomSample  = 3.0                    // stretch that one answer can show here
+	roomSample  = 4.0                    // stretch that one answer can show here
 	overRoom    = 0.6                    // share of the room up to which over-share requests are let in
 	allShares   = 1.3                    // or while requests come at this multiple of all quotas together
 	holdShare   = 0.05                   // share of the mean aim that a request waits here at most
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -984,3 +984,27 @@
 		t.Errorf("%d of 30 calls were sent again", again)
 	}
 }
+
+// Seen on the standard days and at the start of recorded ones: the load of an ordinary day stretches answers to nearly
+// twice what they take on an empty fleet. That is no crowd, and nobody must be refused for it.
+func TestOrdinaryLoadIsNoCrowd(t *testing.T) {
+	r := newRig(t, basic(), "a", "b", "c", "d")
+	calm := 100 * ms
+	r.warm(100, map[string]time.Duration{"a": calm, "b": calm, "c": calm, "d": calm})
+	for range 30 {
+		var out []string
+		for range 20 { // of room for 24
+			id, _ := r.call("read")
+			out = append(out, id)
+		}
+		r.wait(calm * 9 / 5)
+		for _, id := range out {
+			if len(r.to[id]) > 0 {
+				r.end(id, tuliprock.OK)
+			}
+		}
+	}
+	if n := r.count("refuse"); n > 0 {
+		t.Errorf("%d of 600 calls were refused", n)
+	}
+}
