Report what could not be tried as not sent, not as a failed connection

With all descriptors for endpoints in use, or no address known, an attempt ended as ConnectFailed, though nothing had been asked of the endpoint. The module took that for a failure of its own: a sample of twenty times the usual latency, a lost turn, a drop. It is NotSent now, which is no sample and proves as well that the request did not run.

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -203,13 +203,17 @@
 	return &conn{Conn: nc, raw: raw, limit: limit, read: bufio.NewReader(limit), pool: p, addr: addr}, nil
 }
 
+// errNotTried says that nothing was asked of the endpoint: no address is known, or all descriptors for connections are
+// in use. That is no failure of the endpoint's and must not be reported as one.
+var errNotTried = errors.New("no connection could be tried")
+
 // reserve takes the idle connection used last, or the right to open one to the address returned.
 func (u *upstream) reserve(id string) (*pool, string, *conn, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	p := u.pools[id]
 	if p == nil {
-		return nil, "", nil, errors.New("no address is known")
+		return nil, "", nil, errNotTried
 	}
 	for len(p.idle) > 0 {
 		last := len(p.idle) - 1
@@ -222,7 +226,7 @@
 		u.closeLocked(c)
 	}
 	if u.open >= u.most && !u.evict() {
-		return nil, "", nil, errors.New("all descriptors for endpoints are in use")
+		return nil, "", nil, errNotTried
 	}
 	u.open++
 	return p, p.addr, nil, nil
@@ -260,6 +264,9 @@
 // attempt returns: no second attempt can be out beside this one.
 func (u *upstream) attempt(ctx context.Context, id string, m *message) (tuliprock.Result, answer) {
 	c, err := u.take(ctx, id)
+	if errors.Is(err, errNotTried) {
+		return tuliprock.NotSent, answer{}
+	}
 	if err != nil {
 		return unlessCanceled(ctx, tuliprock.ConnectFailed), answer{}
 	}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -145,14 +145,40 @@
 	if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.ConnectFailed {
 		t.Errorf("refused: %v", r)
 	}
-	if r, _ := u.attempt(ctxFor(t, patience), "unlisted", get("/c")); r != tuliprock.ConnectFailed {
-		t.Errorf("no address: %v", r)
-	}
 	if u.open != 0 {
 		t.Errorf("%d descriptors are still counted", u.open)
 	}
 }
 
+// What the sidecar itself lacks is no failure of the endpoint's: told as one, it would count against its weight.
+func TestWhatCouldNotBeTriedIsNotSent(t *testing.T) {
+	came, release := make(chan bool), make(chan bool)
+	e := newEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
+		came <- true
+		<-release
+		io.WriteString(nc, served)
+		return true
+	})
+	u := testUpstream(t, e.addr)
+	u.most = 1
+	first := make(chan tuliprock.Result)
+	go func() {
+		r, _ := u.attempt(ctxFor(t, patience), "a", get("/c"))
+		first <- r
+	}()
+	<-came
+	if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.NotSent {
+		t.Errorf("all descriptors in use: %v", r)
+	}
+	close(release)
+	if r := <-first; r != tuliprock.OK {
+		t.Errorf("the one that had the descriptor: %v", r)
+	}
+	if r, _ := u.attempt(ctxFor(t, patience), "unlisted", get("/c")); r != tuliprock.NotSent {
+		t.Errorf("no address: %v", r)
+	}
+}
+
 // A request whose last byte was not written can't have run.
 func TestABreakWhileWritingIsConnectFailed(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
