Turn away ids that were taken before, also once answered

Evidence: the ids in the log of callers' bytes, next to what was written to servers.

At fault: start in internal/sidecar/loop.go knew live ids only. It remembers the latest 4096 to 8192 taken, too.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -56,6 +56,7 @@
 	log      *slog.Logger
 
 	calls   map[string]*call
+	taken   recent // ids of requests, answered ones included
 	members map[string]bool
 	timers  []time.Duration           // sorted
 	later   []func(now time.Duration) // events that arose within a Host method
@@ -115,9 +116,10 @@
 	}
 }
 
-// start takes a request. One whose id is still in use is turned away, so that it can't disturb the first.
+// start takes a request. One whose id is or was in use is turned away: every request of a caller's own has a new one,
+// and a repeat must neither disturb the first nor reach an endpoint.
 func (l *loop) start(now time.Duration, c *call) {
-	if l.calls[c.ID] != nil {
+	if !l.taken.add(c.ID) || l.calls[c.ID] != nil {
 		c.replies <- reply{status: statusDuplicate}
 		return
 	}
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -157,3 +157,32 @@
 		t.Errorf("answered %v, %v", resp, err)
 	}
 }
+
+// Seen on the same day: peers sent the ids of clients' requests again once those were answered.
+func TestAnAnsweredRequestIsNotTakenAgain(t *testing.T) {
+	e := newEndpoint(t, says(served, true))
+	s := run(t, e.addr)
+	for i, want := range []int{http.StatusOK, statusDuplicate, statusDuplicate} {
+		if status, _, _ := ask(t, s.request(t, http.MethodGet, "/look?v="+fmt.Sprint(i), "same", 6000)); status != want {
+			t.Errorf("time %d: status %d, want %d", i, status, want)
+		}
+	}
+	if n := e.requests.Load(); n != 1 {
+		t.Errorf("%d requests reached the endpoint", n)
+	}
+}
+
+func TestRecentIDsAreBounded(t *testing.T) {
+	var r recent
+	for i := range 10 * recentMost {
+		if !r.add(fmt.Sprint(i)) {
+			t.Fatalf("id %d passes for known", i)
+		}
+		if i >= recentMost && r.add(fmt.Sprint(i-recentMost+1)) {
+			t.Fatalf("of %d ids, number %d is forgotten", i, i-recentMost+1)
+		}
+	}
+	if n := len(r.young) + len(r.old); n > 2*recentMost {
+		t.Errorf("%d ids are kept", n)
+	}
+}
