Hold an endpoint's errors against the others', not against all with its own

Ruled out: refusals and lateness (none and 3%), resets and failed connections (none).

At fault: judge in balancer.go blames an endpoint with tiers below for an error only if its error share is more than half as large again as that of all. Now the measure is the mean of the other endpoints, and on top of that a margin of about three errors in fifteen answers, so that a chance error, or a tier below that fails for all alike, is still laid at nobody's door. The share of all is gone from the state.

--- a/balancer.go
+++ b/balancer.go
@@ -42,7 +42,8 @@
 	hopeless    = 0.6                    // share of the expected time that must be left, when room is short
 	resendShare = 0.1                    // resends earned by each request
 	resendMost  = 10.0                   // resends saved up at most
-	blame       = 1.5                    // error share, over that of all, that makes errors an endpoint's own
+	blame       = 1.5                    // error share, over that of the others, that makes errors its own
+	blameLeast  = 0.1                    // and this much more: three errors in fifteen answers
 	coldShare   = 1.5                    // calls to a cold endpoint, in shares of its warmth
 	tableGap    = time.Second            // a table is so large that each endpoint in it is called this often,
 	tableShare  = 12.0                   // that each endpoint is in the tables of this many callers,
@@ -466,7 +467,6 @@
 // judge turns an outcome into a sample.
 func (b *Balancer) judge(now time.Duration, q *request, a *attempt, r Result, took time.Duration) {
 	e, stretch, failed := a.e, min(took.Seconds()/b.expected(q), penaltyMost), r != OK
-	b.errors -= b.errors * meanGain
 	e.errors -= e.errors * meanGain
 	switch r {
 	case OK:
@@ -475,9 +475,8 @@
 		b.resize(now, stretch)
 		e.kind.learn(stretch)
 	case Errored:
-		b.errors += meanGain
 		e.errors += meanGain
-		if failed = b.s.TiersBelow == 0 || e.errors > blame*b.errors; !failed {
+		if failed = b.s.TiersBelow == 0 || e.errors > blame*b.othersErrors(e)+blameLeast; !failed {
 			r = NotSent // the tier below fails for all alike: says nothing of this endpoint, good or bad
 		}
 	case Reset, ConnectFailed:
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -985,6 +985,31 @@
 	}
 }
 
+// Seen on days on which a server quickly failed its requests: its own errors were part of what they were held against,
+// so that one of four had to fail six in a row before it lost its turns.
+func TestErrorsOfOneEndpointAreItsOwn(t *testing.T) {
+	s := basic()
+	s.TiersBelow = 1
+	r := newRig(t, s, "a", "b", "c", "d")
+	took := map[string]time.Duration{"a": 20 * ms, "b": 20 * ms, "c": 20 * ms, "d": 20 * ms}
+	r.warm(200, took)
+	failed := 0
+	for i := range 100 {
+		id, ep := r.call("bill")
+		if i >= 40 && ep == "d" { // until then it is learnt what bills take
+			failed++
+			r.wait(ms)
+			r.end(id, tuliprock.Errored)
+			continue
+		}
+		r.wait(took[ep])
+		r.end(id, tuliprock.OK)
+	}
+	if failed < 2 || failed > 4 {
+		t.Errorf("d failed %d of 60 calls; fifteen are its turns", failed)
+	}
+}
+
 // Seen on the standard days and at the start of recorded ones: the load of an ordinary day stretches answers to nearly
 // twice what they take on an empty fleet. That is no crowd, and nobody must be refused for it.
 func TestOrdinaryLoadIsNoCrowd(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -103,7 +103,6 @@
 	cutAt     time.Duration
 	resizedAt time.Duration
 	budget    float64 // resends saved up
-	errors    float64 // share of recent outcomes that are errors
 	held      float64 // mean load that probes report
 	started   time.Duration
 	calls     float64 // requests, faded, as of callsAt
@@ -240,6 +239,17 @@
 	return w
 }
 
+// othersErrors is the mean error share of the endpoints in the table, one left out.
+func (b *Balancer) othersErrors(but *endpoint) float64 {
+	sum, n := 0.0, 0.0
+	for _, e := range b.table {
+		if e != but {
+			sum, n = sum+e.errors, n+1
+		}
+	}
+	return sum / max(n, 1)
+}
+
 // typical is what a call takes when all is calm, in seconds, over the classes seen; 1 before any was.
 func (b *Balancer) typical() float64 {
 	sum, n := 0.0, 0.0
