Model a service of stand-in boxes and play it in virtual time

Nothing of the project's own could say how the program does under load and faults. The model of a box is pure and agrees with the closed forms of M/M/1, M/D/1, M/M/c, M/M/c/K and M/G/1-PS within 3%. The same seed gives the same result, whatever the order in which parties are made.

--- /dev/null
+++ b/internal/lab/box/box_test.go
@@ -0,0 +1,262 @@
+package box
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"tuliprock/internal/lab"
+)
+
+// station plays one box by itself: requests arrive at random and compute once.
+type station struct {
+	kind    lab.Kind
+	rate    float64 // arrivals a second
+	work    func(*rand.Rand) float64
+	count   int
+	waits   float64 // mean time not spent computing, seconds
+	lost    float64 // share turned away
+	replies float64 // mean time to the end
+}
+
+func (s *station) play(t *testing.T) {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(7, 11))
+	b := New(s.kind, lab.BoxSpec{}, lab.Rules{}, -1, rng)
+	type entry struct {
+		at   time.Duration
+		work float64
+	}
+	var now, arrival time.Duration
+	var done []*Job
+	admitted, declined := 0, 0
+	for admitted+declined < s.count || b.Held() > 0 {
+		next := b.Next()
+		if admitted+declined < s.count && arrival < next {
+			now = arrival
+			arrival += time.Duration(rng.ExpFloat64() / s.rate * 1e9)
+			done = b.Advance(now, done[:0])
+			w := s.work(rng)
+			j := &Job{Owner: entry{now, w}, Work: w}
+			if b.Arrive(now, j, w) == Admitted {
+				admitted++
+			} else {
+				declined++
+			}
+		} else {
+			now = next
+			done = b.Advance(now, done[:0])
+		}
+		for _, j := range done {
+			e := j.Owner.(entry)
+			s.replies += (now - e.at).Seconds()
+			s.waits += (now - e.at).Seconds() - e.work/s.kind.Speed
+			b.End(j)
+		}
+	}
+	s.waits /= float64(admitted)
+	s.replies /= float64(admitted)
+	s.lost = float64(declined) / float64(s.count)
+}
+
+func exponential(mean float64) func(*rand.Rand) float64 {
+	return func(r *rand.Rand) float64 { return r.ExpFloat64() * mean }
+}
+
+func within(t *testing.T, what string, got, want, tolerance float64) {
+	t.Helper()
+	if math.Abs(got-want) > tolerance*want {
+		t.Errorf("%s: %.5f, want %.5f within %g%%", what, got, want, 100*tolerance)
+	}
+}
+
+const plenty = 1 << 30
+
+// The closed forms are those of Kleinrock, Queueing Systems I (1975): M/M/1 3.2, M/M/c 3.5, M/M/c/K 3.6, M/G/1 5.6
+// (Pollaczek and Khinchin) and, for processor sharing, II 4.4: the mean depends on the mean of the work alone.
+func TestAgainstClosedForms(t *testing.T) {
+	const n = 1_500_000
+	t.Run("M/M/1", func(t *testing.T) {
+		s := station{kind: lab.Kind{Cores: 1, Speed: 2, Slots: 1, Queue: plenty}, rate: 14, work: exponential(0.1), count: n}
+		s.play(t)
+		rho, mu := 0.7, 20.0
+		within(t, "mean wait", s.waits, rho/(mu*(1-rho)), 0.03)
+	})
+	t.Run("M/D/1", func(t *testing.T) {
+		s := station{kind: lab.Kind{Cores: 1, Speed: 1, Slots: 1, Queue: plenty}, rate: 8,
+			work: func(*rand.Rand) float64 { return 0.1 }, count: n}
+		s.play(t)
+		rho, mu := 0.8, 10.0
+		within(t, "mean wait", s.waits, rho/(2*mu*(1-rho)), 0.03)
+	})
+	t.Run("M/M/c", func(t *testing.T) {
+		const c, lambda, mu = 4, 30.0, 10.0
+		s := station{kind: lab.Kind{Cores: c, Speed: 1, Slots: c, Queue: plenty}, rate: lambda, work: exponential(1 / mu), count: n}
+		s.play(t)
+		a := lambda / mu
+		sum, term := 0.0, 1.0
+		for k := range c {
+			sum += term
+			term *= a / float64(k+1)
+		}
+		erlangC := term / (1 - a/c) / (sum + term/(1-a/c))
+		within(t, "mean wait", s.waits, erlangC/(c*mu-lambda), 0.03)
+	})
+	t.Run("M/M/c/K", func(t *testing.T) {
+		const c, k, lambda, mu = 3, 8, 36.0, 10.0
+		s := station{kind: lab.Kind{Cores: c, Speed: 1, Slots: c, Queue: k - c}, rate: lambda, work: exponential(1 / mu), count: n}
+		s.play(t)
+		p, sum := 1.0, 1.0
+		for i := 1; i <= k; i++ {
+			p *= lambda / (float64(min(i, c)) * mu)
+			sum += p
+		}
+		within(t, "loss", s.lost, p/sum, 0.03)
+	})
+	t.Run("M/G/1 processor sharing", func(t *testing.T) {
+		s := station{kind: lab.Kind{Cores: 1, Speed: 1, Slots: plenty, Queue: 0}, rate: 6,
+			work: func(r *rand.Rand) float64 { // two sorts of very different size, mean 0.1
+				if r.Float64() < 0.1 {
+					return 0.55
+				}
+				return 0.05
+			}, count: n}
+		s.play(t)
+		within(t, "mean time", s.replies, 0.1/(1-0.6), 0.03)
+	})
+}
+
+func job(work float64) *Job { return &Job{Work: work} }
+
+// ends plays a box until an instant and gives when each job's work was through.
+func ends(b *Box, until time.Duration) []time.Duration {
+	var at []time.Duration
+	for next := b.Next(); next <= until; next = b.Next() {
+		for _, j := range b.Advance(next, nil) {
+			at = append(at, next)
+			b.End(j)
+		}
+	}
+	b.Advance(until, nil)
+	return at
+}
+
+func TestSlotIsKeptWhileWaiting(t *testing.T) {
+	b := New(lab.Kind{Cores: 1, Speed: 1, Slots: 1, Queue: 1}, lab.BoxSpec{}, lab.Rules{}, -1, lab.Rand(1, "b"))
+	first, second, third := job(0.1), job(0.2), job(0.1)
+	if b.Arrive(0, first, 0.1) != Admitted || b.Arrive(0, second, 0.2) != Admitted {
+		t.Fatal("the slot or the room was refused")
+	}
+	if got := b.Arrive(0, third, 0.1); got != Declined {
+		t.Fatalf("a third request is %v, want declined", got)
+	}
+	if done := b.Advance(100*time.Millisecond, nil); len(done) != 1 || done[0] != first {
+		t.Fatalf("through: %v", done)
+	}
+	// first calls the next tier: its slot is not second's yet.
+	b.Advance(time.Second, nil)
+	if b.InSlots() != 1 || b.Held() != 2 {
+		t.Fatalf("held %d, in slots %d", b.Held(), b.InSlots())
+	}
+	first.Work = 0.05
+	b.Resume(first)
+	if at := ends(b, 2*time.Second); len(at) != 2 || at[0] != 1050*time.Millisecond || at[1] != 1250*time.Millisecond {
+		t.Fatalf("ends at %v", at)
+	}
+}
+
+func TestColdBoxWarmsAndFallsOver(t *testing.T) {
+	spec := lab.BoxSpec{ColdFrom: 0.25, ColdFor: 4 * time.Second}
+	rules := lab.Rules{FallOver: 4, FallWindow: time.Second}
+	kind := lab.Kind{Cores: 1, Speed: 1, Slots: 10, Queue: 100}
+	b := New(kind, spec, rules, 0, lab.Rand(1, "b"))
+	b.Arrive(0, job(0.25), 0.25)
+	// Attained work is the integral of 0.25 + 0.1875 t: 0.25 at t = 0.781 s, less what small steps leave.
+	if at := ends(b, 2*time.Second); len(at) != 1 || math.Abs(at[0].Seconds()-0.781) > 0.02 {
+		t.Fatalf("a cold box is through at %v", at)
+	}
+	now := 2 * time.Second // capacity 0.625: a budget of 2.5 s of work a second
+	for i := range 3 {
+		if b.Arrive(now, job(1), 1); b.Fell() {
+			t.Fatalf("fell over at request %d", i)
+		}
+	}
+	if got := b.Arrive(now, job(1), 1); got != Dead || !b.Fell() {
+		t.Fatalf("sent 4 s of work at once: %v, fell %v", got, b.Fell())
+	}
+	b.Crash()
+	b.Restart(10 * time.Second)
+	if b.Down() || b.Fell() || b.Warmth(10*time.Second) != 0.25 {
+		t.Fatal("not back cold")
+	}
+	b.Advance(20*time.Second, nil)
+	for range 10 {
+		b.Arrive(20*time.Second, job(1), 1)
+	}
+	if b.Fell() {
+		t.Fatal("a warm box fell over")
+	}
+}
+
+func TestChoke(t *testing.T) {
+	spec := lab.BoxSpec{ChokeAt: 2, ChokeOver: 500 * time.Millisecond, ChokeSlower: 2, ChokeBelow: 1, ChokeRest: time.Second}
+	b := New(lab.Kind{Cores: 1, Speed: 1, Slots: 1, Queue: 100}, spec, lab.Rules{}, -1, lab.Rand(1, "b"))
+	for range 5 {
+		b.Arrive(0, job(0.3), 0.3)
+	}
+	at := ends(b, 500*time.Millisecond)
+	if !b.Choked() || len(at) != 1 {
+		t.Fatalf("choked %v after %v", b.Choked(), at)
+	}
+	at = ends(b, 10*time.Second)
+	// 0.1 s of the second job is left, then three of 0.3 s, at half speed.
+	if len(at) != 4 || at[0] != 700*time.Millisecond || at[3] != 2500*time.Millisecond {
+		t.Fatalf("ends at %v", at)
+	}
+	if b.Choked() {
+		t.Fatal("choked after a rest")
+	}
+}
+
+func TestCrashEndsAllJobs(t *testing.T) {
+	b := New(lab.Kind{Cores: 1, Speed: 1, Slots: 1, Queue: 5}, lab.BoxSpec{ConnLimit: 1}, lab.Rules{}, -1, lab.Rand(1, "b"))
+	jobs := []*Job{job(1), job(1)}
+	for _, j := range jobs {
+		b.Arrive(0, j, 1)
+	}
+	if !b.Connect() || b.Connect() {
+		t.Fatal("the limit of connections does not hold")
+	}
+	b.Crash()
+	for _, j := range jobs {
+		if !j.Over() {
+			t.Error("a job outlived the crash")
+		}
+		b.End(j) // late: the driver may not have heard
+	}
+	if b.Arrive(0, job(1), 1) != Dead || b.Connect() || b.Held() != 0 {
+		t.Error("a crashed box takes work")
+	}
+}
+
+func TestReportsAreLateAndHeld(t *testing.T) {
+	spec := lab.BoxSpec{ReportEvery: 100 * time.Millisecond, ReportDelay: 50 * time.Millisecond}
+	b := New(lab.Kind{Cores: 1, Speed: 1, Slots: 1, Queue: 9}, spec, lab.Rules{}, -1, lab.Rand(1, "b"))
+	ms := time.Millisecond
+	look := func(at time.Duration, want float64) {
+		t.Helper()
+		b.Advance(at, nil)
+		if got, ok := b.Report(at); !ok || got != want {
+			t.Errorf("at %v: %v, want %v", at, got, want)
+		}
+	}
+	look(10*ms, 0)
+	b.Arrive(10*ms, job(9), 9)
+	b.Arrive(10*ms, job(9), 9)
+	look(120*ms, 0) // refreshed at 100 ms, not yet here
+	look(160*ms, 2)
+	b.Arrive(160*ms, job(9), 9)
+	look(240*ms, 2)
+	look(900*ms, 3)
+}
--- /dev/null
+++ b/internal/lab/rival/rival.go
@@ -0,0 +1,228 @@
+// Package rival has textbook balancing policies to compare the project's own with. Each speaks the module's interface,
+// tuliprock.Events and tuliprock.Host, keeps the rule against double effects, and repeats what may be repeated. They
+// differ only in how they choose.
+package rival
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"tuliprock"
+)
+
+// Names lists the policies.
+var Names = []string{"random", "round_robin", "least_outstanding", "two_choices", "peak_ewma"}
+
+// decay is the time over which peak_ewma forgets a peak (Finagle's default).
+const decay = 10 * time.Second
+
+type endpoint struct {
+	tuliprock.Endpoint
+	out  int
+	cost float64 // peak-sensitive average of answer times, seconds
+	at   time.Duration
+}
+
+type request struct {
+	tuliprock.Request
+	effect tuliprock.Effect
+	tried  []*endpoint
+	mayRun bool
+}
+
+// Policy is one instance. It is not safe for concurrent use.
+type Policy struct {
+	s         tuliprock.Settings
+	host      tuliprock.Host
+	rng       *rand.Rand
+	choose    func(now time.Duration, among []*endpoint) *endpoint
+	effects   map[string]tuliprock.Effect
+	endpoints []*endpoint
+	ready     []*endpoint
+	byName    map[string]*endpoint
+	requests  map[string]*request
+	turn      int
+}
+
+var _ tuliprock.Events = (*Policy)(nil)
+
+// New returns an instance of the policy named, or an error that lists the names.
+func New(name string, s tuliprock.Settings, h tuliprock.Host) (*Policy, error) {
+	p := &Policy{s: s, host: h, rng: rand.New(rand.NewPCG(s.Seed, 2)), effects: map[string]tuliprock.Effect{},
+		byName: map[string]*endpoint{}, requests: map[string]*request{}}
+	for _, c := range s.Classes {
+		p.effects[c.Name] = c.Effect
+	}
+	switch name {
+	case "random":
+		p.choose = func(_ time.Duration, among []*endpoint) *endpoint { return among[p.rng.IntN(len(among))] }
+	case "round_robin":
+		p.turn = p.rng.IntN(1 << 20) // instances must not go round in step
+		p.choose = func(_ time.Duration, among []*endpoint) *endpoint {
+			p.turn++
+			return among[p.turn%len(among)]
+		}
+	case "least_outstanding":
+		p.choose = func(_ time.Duration, among []*endpoint) *endpoint {
+			start := p.rng.IntN(len(among)) // ties go to no one in particular
+			best := among[start]
+			for i := range among {
+				if e := among[(start+i)%len(among)]; e.out < best.out {
+					best = e
+				}
+			}
+			return best
+		}
+	case "two_choices":
+		p.choose = p.two(func(_ time.Duration, e *endpoint) float64 { return float64(e.out) })
+	case "peak_ewma":
+		p.choose = p.two(func(now time.Duration, e *endpoint) float64 {
+			cost := e.cost * math.Exp(-float64(now-e.at)/float64(decay))
+			if cost == 0 && e.out > 0 { // nothing known yet: one at a time
+				return math.MaxFloat64 / 2
+			}
+			return cost * float64(e.out+1)
+		})
+	default:
+		return nil, fmt.Errorf("policy %q is none of %v", name, Names)
+	}
+	return p, nil
+}
+
+// two draws two and takes the one of lower cost.
+func (p *Policy) two(cost func(time.Duration, *endpoint) float64) func(time.Duration, []*endpoint) *endpoint {
+	return func(now time.Duration, among []*endpoint) *endpoint {
+		a := among[p.rng.IntN(len(among))]
+		if len(among) == 1 {
+			return a
+		}
+		b := among[p.rng.IntN(len(among))]
+		for b == a {
+			b = among[p.rng.IntN(len(among))]
+		}
+		if cost(now, b) < cost(now, a) {
+			return b
+		}
+		return a
+	}
+}
+
+// EndpointList implements tuliprock.Events.
+func (p *Policy) EndpointList(now time.Duration, l tuliprock.List) {
+	if l.Failed {
+		return
+	}
+	if l.Complete {
+		for _, e := range p.endpoints {
+			e.State = tuliprock.Gone
+		}
+	}
+	for _, in := range l.Entries {
+		e := p.byName[in.ID]
+		if e == nil {
+			e = &endpoint{}
+			p.byName[in.ID] = e
+			p.endpoints = append(p.endpoints, e)
+		}
+		if in.Started > e.Started {
+			e.cost = 0
+		}
+		e.Endpoint = in
+	}
+	p.endpoints = slices.DeleteFunc(p.endpoints, func(e *endpoint) bool {
+		if e.State == tuliprock.Gone {
+			delete(p.byName, e.ID)
+		}
+		return e.State == tuliprock.Gone
+	})
+	p.ready = p.ready[:0]
+	for _, e := range p.endpoints {
+		if e.State == tuliprock.Ready {
+			p.ready = append(p.ready, e)
+		}
+	}
+}
+
+// Request implements tuliprock.Events.
+func (p *Policy) Request(now time.Duration, r tuliprock.Request) {
+	effect, ok := p.effects[r.Class]
+	if !ok {
+		effect = tuliprock.Unsafe
+	}
+	q := &request{Request: r, effect: effect}
+	p.requests[r.ID] = q
+	p.try(now, q)
+}
+
+// try sends a request to one that it has not met, if there is any, or else gives the final answer.
+func (p *Policy) try(now time.Duration, q *request) {
+	among := p.ready
+	if len(q.tried) > 0 {
+		among = slices.DeleteFunc(slices.Clone(among), func(e *endpoint) bool { return slices.Contains(q.tried, e) })
+		if len(among) == 0 {
+			among = p.ready
+		}
+	}
+	may := len(q.tried) == 0 || (p.s.MaxAttempts <= 0 || len(q.tried) < p.s.MaxAttempts) && (q.effect == tuliprock.Safe || !q.mayRun)
+	if len(among) == 0 || !may || now >= q.Deadline-p.s.Resolution {
+		p.end(q)
+		return
+	}
+	e := p.choose(now, among)
+	e.out++
+	q.tried = append(q.tried, e)
+	p.host.Send(q.ID, e.ID, q.Deadline-now)
+}
+
+func (p *Policy) end(q *request) {
+	delete(p.requests, q.ID)
+	if q.effect == tuliprock.Safe || !q.mayRun {
+		p.host.Refuse(q.ID, 0)
+	} else {
+		p.host.Fail(q.ID)
+	}
+}
+
+// Outcome implements tuliprock.Events.
+func (p *Policy) Outcome(now time.Duration, o tuliprock.Outcome) {
+	q := p.requests[o.ID]
+	if q == nil || o.Attempt >= len(q.tried) {
+		return
+	}
+	e := q.tried[o.Attempt]
+	e.out--
+	if took := o.Took.Seconds(); o.Result != tuliprock.Canceled && o.Result != tuliprock.NotSent {
+		if o.Result != tuliprock.OK {
+			took = max(took, 1)
+		}
+		old := math.Exp(-float64(now-e.at) / float64(decay))
+		e.cost = max(took, e.cost*old+took*(1-old))
+		e.at = now
+	}
+	switch {
+	case o.Final || o.Result == tuliprock.OK:
+		delete(p.requests, o.ID)
+	default:
+		switch o.Result {
+		case tuliprock.Full, tuliprock.ConnectFailed, tuliprock.NotSent:
+		default:
+			q.mayRun = true
+		}
+		p.try(now, q)
+	}
+}
+
+// ClientLeft implements tuliprock.Events. The attempt that is out keeps its place until its outcome comes.
+func (p *Policy) ClientLeft(time.Duration, string) {}
+
+// StreamStarted implements tuliprock.Events.
+func (p *Policy) StreamStarted(time.Duration, string, int) {}
+
+// Timer implements tuliprock.Events.
+func (p *Policy) Timer(time.Duration) {}
+
+// Probed implements tuliprock.Events.
+func (p *Policy) Probed(time.Duration, tuliprock.ProbeResult) {}
--- /dev/null
+++ b/internal/lab/traffic/traffic.go
@@ -0,0 +1,125 @@
+// Package traffic draws what clients ask for: the same list of requests for every arm of an experiment, whatever the
+// arm does. It is pure.
+package traffic
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"tuliprock/internal/lab"
+)
+
+// Request is one thing that a client wants; retries belong to it.
+type Request struct {
+	At       time.Duration // intended time of sending, from which its latency counts
+	Class    int           // in Site.Classes
+	Tenant   int           // in Site.Tenants, -1 where there are none
+	Patience time.Duration // of one try
+	Work     float64       // seconds on a core of speed 1, over all tiers, of a typical call
+	Leaves   time.Duration // the client leaves without a word after this; 0: it stays
+	Seed     uint64        // for all that is drawn for it later
+}
+
+// Draw gives the requests of an experiment in order of arrival.
+func Draw(e *lab.Experiment, seed uint64) []Request {
+	arrivals := lab.Rand(seed, "arrivals")
+	rng := lab.Rand(seed, "requests")
+	var out []Request
+	for _, at := range instants(e, arrivals) {
+		r := Request{At: at, Class: class(e.Site.Classes, rng), Tenant: tenant(e.Site.Tenants, rng), Seed: rng.Uint64()}
+		c := e.Site.Classes[r.Class]
+		r.Work = Work(c, rng)
+		least := e.Load.Clients.PatienceLeast
+		if least <= 0 || least > 1 {
+			least = 1
+		}
+		r.Patience = time.Duration(float64(c.Deadline) * (least + (1-least)*rng.Float64())).Truncate(time.Millisecond)
+		if leaves := rng.Float64() < e.Load.Clients.Leave; leaves {
+			r.Leaves = time.Duration(rng.Float64() * float64(r.Patience))
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+func instants(e *lab.Experiment, rng *rand.Rand) []time.Duration {
+	if e.Load.Process == "recorded" {
+		out := slices.Clone(e.Load.Recorded)
+		slices.Sort(out)
+		return slices.DeleteFunc(out, func(at time.Duration) bool { return at >= e.Duration })
+	}
+	var out []time.Duration
+	steps := slices.Clone(e.Load.Steps)
+	slices.SortStableFunc(steps, func(a, b lab.Step) int { return cmp.Compare(a.At, b.At) })
+	// Unit gaps are stretched by the rate of the moment (time change), so that a step takes hold at once.
+	left, factor, next := gap(e, rng), 1.0, 0
+	for now := 0.0; ; {
+		for next < len(steps) && steps[next].At.Seconds() <= now {
+			factor = steps[next].Factor
+			next++
+		}
+		rate, end := e.Load.Rate*factor, e.Duration.Seconds()
+		if next < len(steps) {
+			end = min(end, steps[next].At.Seconds())
+		}
+		if rate <= 0 || now+left/rate >= end {
+			left -= max(end-now, 0) * rate
+			now = end
+			if now >= e.Duration.Seconds() {
+				return out
+			}
+			continue
+		}
+		now += left / rate
+		out = append(out, time.Duration(now*float64(time.Second)))
+		left = gap(e, rng)
+	}
+}
+
+func gap(e *lab.Experiment, rng *rand.Rand) float64 {
+	if e.Load.Process == "steady" {
+		return 1
+	}
+	return rng.ExpFloat64()
+}
+
+func class(classes []lab.Class, rng *rand.Rand) int {
+	return weighted(len(classes), func(i int) float64 { return classes[i].Share }, rng)
+}
+
+func tenant(tenants []lab.Tenant, rng *rand.Rand) int {
+	if len(tenants) == 0 {
+		return -1
+	}
+	return weighted(len(tenants), func(i int) float64 { return tenants[i].Share }, rng)
+}
+
+func weighted(n int, weight func(int) float64, rng *rand.Rand) int {
+	sum := 0.0
+	for i := range n {
+		sum += weight(i)
+	}
+	x := rng.Float64() * sum
+	for i := range n {
+		if x -= weight(i); x < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
+
+// Work draws the work of one request of a class, in seconds.
+func Work(c lab.Class, rng *rand.Rand) float64 {
+	mean := c.Work.Seconds()
+	switch c.Spread {
+	case lab.Fixed:
+		return mean
+	case lab.LogNormal:
+		variance := math.Log1p(c.Cv * c.Cv)
+		return mean * math.Exp(math.Sqrt(variance)*rng.NormFloat64()-variance/2)
+	}
+	return mean * rng.ExpFloat64()
+}
--- /dev/null
+++ b/internal/lab/virtual/host.go
@@ -0,0 +1,271 @@
+package virtual
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"tuliprock"
+	"tuliprock/internal/lab"
+	"tuliprock/internal/lab/box"
+	"tuliprock/internal/lab/ledger"
+	"tuliprock/internal/lab/tally"
+	"tuliprock/internal/lab/traffic"
+)
+
+// host is a box in the world: the model, what strikes it, and the instance that makes its calls.
+type host struct {
+	party
+	w          *world
+	tier       int
+	place      int
+	generation int
+	name       string
+	box        *box.Box
+	stats      tally.Box
+	rng        *rand.Rand
+	below      *instance
+	came, gone time.Duration
+	life       int // crashes so far: connections of an earlier one are broken
+
+	wake time.Duration // for which the box is scheduled
+	work []*errand     // what it has in hand
+	done []*box.Job
+
+	slow     map[lab.FaultKind]float64
+	failing  float64 // chance of a fast error
+	before   float64 // of a break before the last byte
+	after    float64 // and after it
+	within   float64 // and within the answer, or of one that is garbled
+	delay    time.Duration
+	vanished bool
+	stalled  bool
+}
+
+// errand is a request in a box.
+type errand struct {
+	box.Job
+	a     *attempt
+	class int
+	rest  float64 // work left for after the calls
+	wait  time.Duration
+	calls int // left to make
+	total float64
+	spot  int
+	n     int // calls made
+}
+
+// strike begins or ends a fault.
+func (h *host) strike(c traffic.Change) {
+	size, period := 0.0, time.Duration(0)
+	if c.On {
+		size, period = c.Fault.Size, c.Fault.Period
+	}
+	switch c.Kind {
+	case lab.FastErrors:
+		h.failing = size
+	case lab.BreakBefore:
+		h.before = size
+	case lab.BreakAfter:
+		h.after = size
+	case lab.BreakAnswer, lab.GarbleAnswer:
+		h.within = size
+	case lab.SlowAnswer:
+		h.delay = period
+	case lab.Vanish:
+		h.vanished = c.On
+	case lab.StallAccept:
+		h.stalled = c.On
+	case lab.Neighbour, lab.SharedSlow:
+		factor := 1.0
+		if c.On {
+			factor = c.Fault.Size
+			if c.Kind == lab.Neighbour {
+				factor = 1 / (1 - min(c.Fault.Size, 0.99))
+			}
+		}
+		h.slow[c.Kind] = factor
+		all := 1.0
+		for _, kind := range []lab.FaultKind{lab.Neighbour, lab.SharedSlow} {
+			if f := h.slow[kind]; f > 0 {
+				all *= f
+			}
+		}
+		h.box.Slow(all)
+	}
+}
+
+func (h *host) advance(now time.Duration) {
+	h.done = h.box.Advance(now, h.done[:0])
+	for _, j := range h.done {
+		h.through(now, j.Owner.(*errand))
+	}
+}
+
+// reschedule makes sure that the box is looked at when it wants to be. Wakes that came to be too early do no harm.
+func (h *host) reschedule() {
+	next := h.box.Next()
+	if next > h.w.e.Duration+time.Hour || h.wake > h.w.now && h.wake <= next {
+		return
+	}
+	h.wake = next
+	h.w.at(&h.party, next, func(now time.Duration) {
+		if h.wake == now {
+			h.wake = 0
+		}
+		h.advance(now)
+		h.reschedule()
+	})
+}
+
+// reach takes a request whose last byte has come.
+func (h *host) reach(now time.Duration, a *attempt) {
+	if h.vanished {
+		return
+	}
+	if h.box.Down() {
+		a.comesBack(now, tuliprock.Reset)
+		return
+	}
+	h.advance(now)
+	q := a.call
+	site := &h.w.e.Site
+	t := site.Tiers[h.tier]
+	work := q.work * t.Work
+	if a.dialed {
+		work += t.Box.ConnWork.Seconds()
+	}
+	h.stats.Arrivals++
+	h.w.ledger.Reached(ledger.Arrival{ID: q.id, Box: h.name, First: now, Last: now, Digest: 1,
+		Cold: h.box.Warmth(now) < 1, Work: work})
+	if h.failing > 0 && h.rng.Float64() < h.failing || h.box.Fails() {
+		h.w.at(&h.party, now+errorAfter, func(now time.Duration) { h.answer(now, a, tuliprock.Errored) })
+		return
+	}
+	e := &errand{a: a, class: q.class, total: work}
+	e.Owner = e
+	if h.below != nil {
+		e.calls, e.rest = t.Calls, work/2
+		e.Work = work - e.rest
+	} else {
+		e.Work, e.wait = work, site.Classes[q.class].Wait
+	}
+	switch h.box.Arrive(now, &e.Job, work) {
+	case box.Declined:
+		h.stats.Declined++
+		h.w.ledger.Declined(now, h.name, q.id)
+		a.keepAlive = true
+		a.comesBack(now, tuliprock.Full)
+	case box.Dead:
+		if h.box.Fell() {
+			h.w.ledger.Fell(now, h.name)
+			h.crash(now)
+		}
+		a.comesBack(now, tuliprock.Reset)
+	case box.Admitted:
+		e.spot = len(h.work)
+		h.work = append(h.work, e)
+		a.errand = e
+		if h.after > 0 && h.rng.Float64() < h.after {
+			a.comesBack(now, tuliprock.Reset) // the work goes on
+		}
+	}
+	h.reschedule()
+}
+
+// through goes on with a request whose work is through for now: the next call, the rest of the work, the answer.
+func (h *host) through(now time.Duration, e *errand) {
+	switch {
+	case e.calls > 0:
+		h.call(now, e)
+	case e.rest > 0:
+		e.Work, e.rest = e.rest, 0
+		h.box.Resume(&e.Job)
+		h.reschedule()
+	case e.wait > 0:
+		wait := e.wait
+		e.wait = 0
+		h.w.at(&h.party, now+wait, func(now time.Duration) {
+			if !e.Over() {
+				h.advance(now)
+				h.through(now, e)
+			}
+		})
+	default:
+		h.end(now, e, tuliprock.OK)
+	}
+}
+
+// call asks the next tier, through the box's own instance. It carries no time: the class's whole deadline is told.
+func (h *host) call(now time.Duration, e *errand) {
+	e.calls--
+	e.n++
+	q := e.a.call
+	h.below.take(now, &call{id: q.id + "." + strconv.Itoa(e.a.n) + "." + strconv.Itoa(e.n), class: q.class, tenant: q.tenant,
+		work: q.work, deadline: now + h.w.e.Site.Classes[q.class].Deadline,
+		ended: func(now time.Duration, f ledger.Fate, _ time.Duration) {
+			if e.Over() {
+				return
+			}
+			h.advance(now)
+			if e.Over() {
+				return
+			}
+			if f == ledger.Served {
+				h.through(now, e)
+			} else {
+				h.end(now, e, tuliprock.Errored)
+			}
+			h.reschedule()
+		}})
+}
+
+// end answers a request and frees its slot.
+func (h *host) end(now time.Duration, e *errand, r tuliprock.Result) {
+	h.box.End(&e.Job)
+	h.drop(e)
+	h.reschedule()
+	h.answer(now, e.a, r)
+}
+
+func (h *host) drop(e *errand) {
+	last := len(h.work) - 1
+	h.work[e.spot] = h.work[last]
+	h.work[e.spot].spot = e.spot
+	h.work[last] = nil
+	h.work = h.work[:last]
+	e.a.errand = nil
+}
+
+// answer sends an answer on its way.
+func (h *host) answer(now time.Duration, a *attempt, r tuliprock.Result) {
+	if r == tuliprock.OK {
+		h.w.ledger.Made(h.name, a.call.id, a.call.digest)
+	}
+	if h.vanished {
+		return
+	}
+	if h.within > 0 && h.rng.Float64() < h.within {
+		a.comesBack(now, tuliprock.Reset)
+		return
+	}
+	a.keepAlive = true
+	a.comesBack(now+h.delay, r)
+}
+
+// crash ends the process: what it had breaks, and the instance beside it goes too.
+func (h *host) crash(now time.Duration) {
+	h.box.Crash()
+	work := h.work
+	h.work = nil
+	for _, e := range work {
+		e.a.errand = nil
+		if !h.vanished {
+			e.a.comesBack(now, tuliprock.Reset)
+		}
+	}
+	h.life++
+	if h.below != nil {
+		h.below.kill(now)
+	}
+}
