Play experiments from files, in virtual time and on real sockets

Operators need to ask how the program does under load and faults and to get an answer that they can read. rowancart lab run reads an experiment in HCL, plays every arm on the same arrivals and faults, in virtual time or with the built program as child processes between stand-in boxes, roster and clients, and reports as text, JSON and one HTML page.

--- /dev/null
+++ b/cmd/rowancart/root.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+)
+
+// newRoot makes the command tree.
+func newRoot() *cobra.Command {
+	var format, level string
+	root := &cobra.Command{
+		Use:           "rowancart",
+		Short:         "The operators' program of rowancart, a load balancer",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		PersistentPreRunE: func(cmd *cobra.Command, _ []string) error {
+			log, err := newLogger(cmd.ErrOrStderr(), format, level)
+			if err == nil {
+				slog.SetDefault(log)
+			}
+			return err
+		},
+	}
+	root.PersistentFlags().StringVar(&format, "log-format", "text", "form of the log: text or json")
+	root.PersistentFlags().StringVar(&level, "log-level", "info", "least level that is logged: debug, info, warn or error")
+	root.AddCommand(newLab(), &cobra.Command{
+		Use:   "version",
+		Short: "Print the version that this program was built from",
+		Args:  cobra.NoArgs,
+		Run:   func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), version()) },
+	})
+	return root
+}
+
+func newLogger(w io.Writer, format, level string) (*slog.Logger, error) {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(level)); err != nil {
+		return nil, fmt.Errorf("--log-level: %q is none of debug, info, warn, error", level)
+	}
+	options := &slog.HandlerOptions{Level: l}
+	switch format {
+	case "text":
+		return slog.New(slog.NewTextHandler(w, options)), nil
+	case "json":
+		return slog.New(slog.NewJSONHandler(w, options)), nil
+	}
+	return nil, fmt.Errorf("--log-format: %q is none of text, json", format)
+}
+
+// version words what the build recorded.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "rowancart, of an unknown version"
+	}
+	revision, changed := "an unrecorded revision", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			revision = s.Value
+		case s.Key == "vcs.modified" && s.Value == "true":
+			changed = ", changed since"
+		}
+	}
+	return fmt.Sprintf("rowancart %s (%s%s), %s", info.Main.Version, revision, changed, info.GoVersion)
+}
--- /dev/null
+++ b/internal/lab/campaign/campaign.go
@@ -0,0 +1,229 @@
+// Package campaign plays all that an experiment file asks for, every arm on the same arrivals and faults, and gathers
+// it into one report.
+package campaign
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"tuliprock/internal/lab"
+	"tuliprock/internal/lab/expfile"
+	"tuliprock/internal/lab/report"
+	"tuliprock/internal/lab/rig"
+	"tuliprock/internal/lab/virtual"
+)
+
+// Options say how to play.
+type Options struct {
+	Virtual bool
+	Seeds   []uint64 // in place of the file's
+	Arm     string   // this one only
+	Root    string   // of the repository, for programs that the deploy file starts
+	Self    string   // this program's own path, for the arm that it hosts itself
+	// Progress hears how many of all plays are done, and how far the present one is, from 0 to 1. It may be called from
+	// several goroutines.
+	Progress func(done, all int, part float64)
+}
+
+// voidTries is how often a play in which the rig was late is played.
+const voidTries = 3
+
+// job is one play.
+type job struct {
+	point int
+	arm   lab.Arm
+	seed  uint64
+	out   report.Played
+	ok    bool
+}
+
+// Run plays and reports. When ctx ends, the report holds what was measured and says that it was stopped.
+func Run(ctx context.Context, plays []expfile.Play, o Options) (*report.Report, error) {
+	for i := range plays {
+		e := &plays[i].Experiment
+		if o.Seeds != nil {
+			e.Seeds = o.Seeds
+		}
+		if err := narrow(e, o); err != nil {
+			return nil, err
+		}
+	}
+	first := &plays[0].Experiment
+	r := report.New(first, o.Virtual)
+	var jobs []*job
+	for p := range plays {
+		for _, seed := range plays[p].Seeds { // arms side by side in time: a machine's moods hit all alike
+			for _, a := range plays[p].Arms {
+				jobs = append(jobs, &job{point: p, arm: a, seed: seed})
+			}
+		}
+	}
+	var err error
+	if o.Virtual {
+		err = playVirtual(ctx, plays, jobs, o)
+	} else {
+		err = playSockets(ctx, plays, jobs, o)
+	}
+	if err != nil && ctx.Err() == nil {
+		return nil, err
+	}
+	if ctx.Err() != nil {
+		r.Stopped = "it was interrupted; the figures are of what had been played"
+	}
+	for p := range plays {
+		var done []report.Played
+		for _, j := range jobs {
+			if j.point == p && j.ok {
+				done = append(done, j.out)
+			}
+		}
+		arms := report.Summarise(&plays[p].Experiment, done)
+		if p == 0 {
+			r.Arms = arms
+		}
+		if plays[p].Point != "" {
+			r.Points = append(r.Points, report.Point{Point: plays[p].Point, Arms: arms})
+		}
+		if r.Stopped == "" {
+			for _, m := range report.Judge(&plays[p].Experiment, arms) {
+				if plays[p].Point != "" {
+					m = plays[p].Point + ": " + m
+				}
+				r.Missed = append(r.Missed, m)
+			}
+		}
+	}
+	return r, nil
+}
+
+// narrow drops the arms and expectations that are not to be played.
+func narrow(e *lab.Experiment, o Options) error {
+	var arms []lab.Arm
+	var names []string
+	for _, a := range e.Arms {
+		names = append(names, a.Name)
+		virtual := a.Policy != "reverse_proxy" && a.Run == ""
+		sockets := a.Policy == "tuliprock" || a.Policy == "reverse_proxy" || a.Run != ""
+		if (o.Arm == "" || o.Arm == a.Name) && (o.Virtual && virtual || !o.Virtual && sockets) {
+			arms = append(arms, a)
+		}
+	}
+	if len(arms) == 0 {
+		if o.Arm != "" {
+			return fmt.Errorf("%s: no arm %q can be played so; there are %v", e.Name, o.Arm, names)
+		}
+		return fmt.Errorf("%s: none of the arms %v can be played so", e.Name, names)
+	}
+	if o.Virtual {
+		for _, f := range e.Faults {
+			if !lab.FaultKinds[f.Kind] {
+				return fmt.Errorf("%s: the fault %s needs sockets", e.Name, f.Kind)
+			}
+		}
+	}
+	e.Arms = arms
+	var expect []lab.Expectation
+	for _, x := range e.Expect {
+		for _, a := range arms {
+			if x.Arm == "" || x.Arm == a.Name {
+				expect = append(expect, x)
+				break
+			}
+		}
+	}
+	e.Expect = expect
+	return nil
+}
+
+func (o Options) tell(done, all int, part float64) {
+	if o.Progress != nil {
+		o.Progress(done, all, part)
+	}
+}
+
+// playVirtual plays side by side: plays share nothing, so their order does not show.
+func playVirtual(ctx context.Context, plays []expfile.Play, jobs []*job, o Options) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(runtime.GOMAXPROCS(0))
+	var mu sync.Mutex
+	done := 0
+	for _, j := range jobs {
+		group.Go(func() error {
+			e := &plays[j.point].Experiment
+			got, err := virtual.Run(ctx, e, j.arm, j.seed, virtual.Options{Progress: func(now time.Duration) {
+				mu.Lock()
+				defer mu.Unlock()
+				o.tell(done, len(jobs), min(now.Seconds()/e.Duration.Seconds(), 1))
+			}})
+			if err != nil {
+				return err
+			}
+			j.out = report.Played{Arm: j.arm, Seed: j.seed, Tally: got.Tally, Verdicts: got.Verdicts, Log: got.Logs}
+			j.ok = true
+			mu.Lock()
+			defer mu.Unlock()
+			done++
+			o.tell(done, len(jobs), 0)
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
+// playSockets plays one after another: two at a time would disturb each other.
+func playSockets(ctx context.Context, plays []expfile.Play, jobs []*job, o Options) error {
+	scratch, err := os.MkdirTemp("", "rowancart-lab-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(scratch)
+	deployed := ""
+	for n, j := range jobs {
+		e := &plays[j.point].Experiment
+		line := j.arm.Run
+		switch {
+		case line != "":
+		case j.arm.Policy == "reverse_proxy":
+			line = "exec '" + o.Self + "' lab reverse-proxy"
+		case deployed == "":
+			if deployed, err = rig.Build(ctx, o.Root); err != nil {
+				return err
+			}
+			fallthrough
+		default:
+			line = deployed
+		}
+		dir := filepath.Join(scratch, fmt.Sprint(n))
+		if err := os.Mkdir(dir, 0o700); err != nil {
+			return err
+		}
+		program := rig.Command{Line: line, Dir: o.Root, Scratch: dir}
+		for try := 1; ; try++ {
+			o.tell(n, len(jobs), 0)
+			j.out, err = rig.Run(ctx, e, j.arm, j.seed, rig.Options{Program: program, Progress: func(now time.Duration) {
+				o.tell(n, len(jobs), min(now.Seconds()/e.Duration.Seconds(), 1))
+			}})
+			if errors.Is(err, context.Canceled) && ctx.Err() != nil {
+				j.ok = j.out.Tally.Total.Offered() > 0
+				return err
+			}
+			if err != nil {
+				return err
+			}
+			if j.out.Void == "" || try == voidTries {
+				break
+			}
+		}
+		j.ok = true
+		o.tell(n+1, len(jobs), 0)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/report/report.go
@@ -0,0 +1,437 @@
+// Package report words what plays came to: as JSON, as text for a terminal and as one HTML page without outside parts.
+package report
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"tuliprock/internal/lab"
+	"tuliprock/internal/lab/ledger"
+	"tuliprock/internal/lab/tally"
+)
+
+// Version is that of the JSON form; docs/lab.md describes it. It grows when a field changes its meaning.
+const Version = 1
+
+// Report is what one run of an experiment came to.
+type Report struct {
+	Version    int               `json:"version"`
+	Experiment string            `json:"experiment"`
+	Question   string            `json:"question"`
+	Seed       uint64            `json:"seed"`
+	Seeds      []uint64          `json:"seeds"`
+	Virtual    bool              `json:"virtual"`
+	Settings   map[string]string `json:"settings,omitempty"`
+	DurationS  float64           `json:"duration_s"`
+	WarmupS    float64           `json:"warmup_s"`
+	Faults     []Mark            `json:"faults,omitempty"`
+	Arms       []Arm             `json:"arms"`             // of the only point, or of a sweep's first
+	Points     []Point           `json:"points,omitempty"` // of a sweep
+	Missed     []string          `json:"missed,omitempty"` // expectations that were not met
+	Stopped    string            `json:"stopped,omitempty"`
+}
+
+// Point is one value of a sweep.
+type Point struct {
+	Point string `json:"point"`
+	Arms  []Arm  `json:"arms"`
+}
+
+// Mark is a fault as the page shows it.
+type Mark struct {
+	Kind  string  `json:"kind"`
+	Tier  string  `json:"tier,omitempty"`
+	FromS float64 `json:"from_s"`
+	ToS   float64 `json:"to_s"`
+}
+
+// Latency is in milliseconds, from the intended time of sending.
+type Latency struct {
+	P50  float64 `json:"p50"`
+	P90  float64 `json:"p90"`
+	P99  float64 `json:"p99"`
+	P999 float64 `json:"p999"`
+}
+
+// Rule is the verdict on one rule, over all repeats.
+type Rule struct {
+	Rule   string  `json:"rule"`
+	Broken int     `json:"broken"`
+	FirstS float64 `json:"first_s"`
+	Detail string  `json:"detail"`
+}
+
+// Repeat is one play of an arm.
+type Repeat struct {
+	Seed         uint64  `json:"seed"`
+	Offered      int64   `json:"offered"`
+	ServedInTime float64 `json:"served_in_time"` // shares
+	Late         float64 `json:"late"`
+	Refused      float64 `json:"refused"`
+	Failed       float64 `json:"failed"`
+	Worth        float64 `json:"worth"` // share of the worth asked for that was served in time
+	P50          float64 `json:"p50_ms"`
+	P99          float64 `json:"p99_ms"`
+	Attempts     float64 `json:"attempts_per_request"`
+	Void         string  `json:"void,omitempty"`
+}
+
+// Second is what became of the requests that were to be sent within one second, over all repeats.
+type Second struct {
+	ServedInTime int64   `json:"served_in_time"`
+	Late         int64   `json:"late"`
+	Refused      int64   `json:"refused"`
+	Failed       int64   `json:"failed"`
+	P99          float64 `json:"p99_ms"` // mean over the repeats
+}
+
+// Group is a class's or a tenant's part.
+type Group struct {
+	Name         string `json:"name"`
+	Offered      int64  `json:"offered"`
+	ServedInTime int64  `json:"served_in_time"`
+	Late         int64  `json:"late"`
+	Refused      int64  `json:"refused"`
+	Failed       int64  `json:"failed"`
+}
+
+// Box is one box's part in the first repeat.
+type Box struct {
+	Name     string  `json:"name"`
+	Kind     string  `json:"kind"`
+	Arrivals int64   `json:"arrivals"`
+	Declined int64   `json:"declined"`
+	Load     float64 `json:"load"` // busy share of its cores while it was there
+}
+
+// Cost is what the programs under test used, on sockets only.
+type Cost struct {
+	CPUSeconds  float64 `json:"cpu_s"`
+	CPUPerReqUs float64 `json:"cpu_us_per_request"`
+	MemoryMB    float64 `json:"memory_mb"` // the largest of any one
+	Descriptors int     `json:"descriptors"`
+}
+
+// Arm is what one arm came to over all repeats.
+type Arm struct {
+	Name         string   `json:"name"`
+	Policy       string   `json:"policy"`
+	Offered      int64    `json:"offered"`
+	ServedInTime int64    `json:"served_in_time"`
+	Late         int64    `json:"late"`
+	Refused      int64    `json:"refused"`
+	Failed       int64    `json:"failed"`
+	Worth        float64  `json:"worth"`
+	LatencyMs    Latency  `json:"latency_ms"`
+	Attempts     float64  `json:"attempts_per_request"`
+	Rules        []Rule   `json:"rules"`
+	Repeats      []Repeat `json:"repeats"`
+	Classes      []Group  `json:"classes"`
+	Tenants      []Group  `json:"tenants,omitempty"`
+	Seconds      []Second `json:"seconds"`
+	Boxes        []Box    `json:"boxes"`
+	Cost         *Cost    `json:"cost,omitempty"`
+	LatenessMs   float64  `json:"lateness_ms,omitempty"` // of the rig's own sending, p99 of the worst repeat
+	Log          []string `json:"log,omitempty"`
+
+	hist *hdrhistogram.Histogram
+}
+
+// Played is one play as a driver gives it.
+type Played struct {
+	Arm      lab.Arm
+	Seed     uint64
+	Tally    *tally.Tally
+	Verdicts []ledger.Verdict
+	Cost     *Cost
+	Lateness time.Duration
+	Void     string // why the play says nothing; empty if it does
+	Log      []string
+}
+
+// New returns a report with no plays yet.
+func New(e *lab.Experiment, virtual bool) *Report {
+	r := &Report{Version: Version, Experiment: e.Name, Question: e.Question, Seeds: e.Seeds, Virtual: virtual,
+		Settings: e.Settings, DurationS: e.Duration.Seconds(), WarmupS: e.Warmup.Seconds()}
+	if len(e.Seeds) > 0 {
+		r.Seed = e.Seeds[0]
+	}
+	for _, f := range e.Faults {
+		r.Faults = append(r.Faults, Mark{string(f.Kind), f.Tier, f.At.Seconds(), max(f.End(), f.At+100*time.Millisecond).Seconds()})
+	}
+	return r
+}
+
+// Summarise turns the plays of one point into its arms, in the order of the experiment's.
+func Summarise(e *lab.Experiment, plays []Played) []Arm {
+	var out []Arm
+	for _, a := range e.Arms {
+		arm := Arm{Name: a.Name, Policy: a.Policy}
+		var total tally.Counts
+		classes := make([]tally.Counts, len(e.Site.Classes))
+		tenants := make([]tally.Counts, len(e.Site.Tenants))
+		var requests, attempts int64
+		var worth, earned float64
+		for _, p := range plays {
+			if p.Arm.Name != a.Name {
+				continue
+			}
+			arm.repeat(p)
+			if p.Void != "" {
+				continue
+			}
+			t := p.Tally
+			total.Add(t.Total)
+			for i := range classes {
+				classes[i].Add(t.Classes[i])
+			}
+			for i := range tenants {
+				tenants[i].Add(t.Tenants[i])
+			}
+			requests, attempts = requests+t.Requests, attempts+t.Attempts
+			worth, earned = worth+t.Worth, earned+t.Earned
+		}
+		arm.Offered, arm.ServedInTime, arm.Late = total.Offered(), total[tally.InTime], total[tally.Late]
+		arm.Refused, arm.Failed = total[tally.Refused], total[tally.Failed]
+		arm.Attempts, arm.Worth = ratio(float64(attempts), float64(requests)), ratio(earned, worth)
+		if arm.hist != nil {
+			arm.LatencyMs = Latency{quantile(arm.hist, 50), quantile(arm.hist, 90), quantile(arm.hist, 99), quantile(arm.hist, 99.9)}
+		}
+		for i, c := range e.Site.Classes {
+			arm.Classes = append(arm.Classes, group(c.Name, classes[i]))
+		}
+		for i, t := range e.Site.Tenants {
+			arm.Tenants = append(arm.Tenants, group(t.Name, tenants[i]))
+		}
+		if c := arm.Cost; c != nil {
+			c.CPUPerReqUs = ratio(c.CPUSeconds*1e6, float64(requests))
+		}
+		out = append(out, arm)
+	}
+	return out
+}
+
+// repeat adds one play. A void one is listed and counts for nothing.
+func (a *Arm) repeat(p Played) {
+	r := Repeat{Seed: p.Seed, Void: p.Void}
+	if t := p.Tally; t != nil {
+		r.Offered = t.Total.Offered()
+		r.ServedInTime, r.Late = t.Total.Share(tally.InTime), t.Total.Share(tally.Late)
+		r.Refused, r.Failed = t.Total.Share(tally.Refused), t.Total.Share(tally.Failed)
+		r.Worth, r.Attempts = ratio(t.Earned, t.Worth), ratio(float64(t.Attempts), float64(t.Requests))
+		r.P50, r.P99 = ms(t.Quantile(0.5)), ms(t.Quantile(0.99))
+	}
+	a.Repeats = append(a.Repeats, r)
+	a.LatenessMs = max(a.LatenessMs, ms(p.Lateness))
+	if p.Void != "" {
+		return
+	}
+	for i, v := range p.Verdicts {
+		if i == len(a.Rules) {
+			a.Rules = append(a.Rules, Rule{Rule: string(v.Rule)})
+		}
+		if rule := &a.Rules[i]; v.Broken > 0 {
+			if rule.Broken == 0 || v.First.Seconds() < rule.FirstS {
+				rule.FirstS, rule.Detail = v.First.Seconds(), v.Detail
+			}
+			rule.Broken += v.Broken
+		}
+	}
+	for s, c := range p.Tally.Seconds {
+		if s == len(a.Seconds) {
+			a.Seconds = append(a.Seconds, Second{})
+		}
+		x := &a.Seconds[s]
+		x.ServedInTime, x.Late, x.Refused, x.Failed = x.ServedInTime+c[tally.InTime], x.Late+c[tally.Late], x.Refused+c[tally.Refused], x.Failed+c[tally.Failed]
+		n := float64(len(a.Repeats))
+		x.P99 += (ms(p.Tally.SecondP99(s)) - x.P99) / n
+	}
+	if a.hist == nil {
+		a.hist = hdrhistogram.New(p.Tally.Latency.LowestTrackableValue(), p.Tally.Latency.HighestTrackableValue(), 3)
+		a.Log = p.Log
+		for _, b := range p.Tally.Boxes {
+			a.Boxes = append(a.Boxes, Box{b.Name, b.Kind, b.Arrivals, b.Declined, ratio(b.Busy, b.Up.Seconds()*float64(b.Cores))})
+		}
+	}
+	a.hist.Merge(p.Tally.Latency)
+	if p.Cost != nil {
+		if a.Cost == nil {
+			a.Cost = &Cost{}
+		}
+		a.Cost.CPUSeconds += p.Cost.CPUSeconds
+		a.Cost.MemoryMB = max(a.Cost.MemoryMB, p.Cost.MemoryMB)
+		a.Cost.Descriptors = max(a.Cost.Descriptors, p.Cost.Descriptors)
+	}
+}
+
+func group(name string, c tally.Counts) Group {
+	return Group{name, c.Offered(), c[tally.InTime], c[tally.Late], c[tally.Refused], c[tally.Failed]}
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+// Broken is how many breaches of rules the arm has.
+func (a *Arm) Broken() int {
+	n := 0
+	for _, r := range a.Rules {
+		n += r.Broken
+	}
+	return n
+}
+
+// Share is a part of what was offered.
+func (a *Arm) Share(n int64) float64 { return ratio(float64(n), float64(a.Offered)) }
+
+// Judge holds arms against an experiment's expectations and words those that are not met.
+func Judge(e *lab.Experiment, arms []Arm) []string {
+	var out []string
+	for _, x := range e.Expect {
+		for i := range arms {
+			a := &arms[i]
+			if x.Arm != "" && x.Arm != a.Name {
+				continue
+			}
+			miss := func(format string, args ...any) {
+				out = append(out, fmt.Sprintf("%s: arm %s: ", x.Place, a.Name)+fmt.Sprintf(format, args...))
+			}
+			if a.Offered == 0 {
+				miss("nothing was measured")
+				continue
+			}
+			if x.RulesKept && a.Broken() > 0 {
+				for _, r := range a.Rules {
+					if r.Broken > 0 {
+						miss("rule %q is broken %d times, first at %.1f s: %s", r.Rule, r.Broken, r.FirstS, r.Detail)
+					}
+				}
+			}
+			if got := a.Share(a.ServedInTime); x.ServedOver > 0 && got <= x.ServedOver {
+				miss("served in time: %.4f, wanted over %g", got, x.ServedOver)
+			}
+			if got := a.Share(a.Refused + a.Failed); x.FailedUnder > 0 && got >= x.FailedUnder {
+				miss("refused or failed: %.4f, wanted under %g", got, x.FailedUnder)
+			}
+			if x.AttemptsUnder > 0 && a.Attempts >= x.AttemptsUnder {
+				miss("attempts for each request: %.3f, wanted under %g", a.Attempts, x.AttemptsUnder)
+			}
+			if x.P99Under > 0 && a.LatencyMs.P99 >= ms(x.P99Under) {
+				miss("p99: %.1f ms, wanted under %v", a.LatencyMs.P99, x.P99Under)
+			}
+		}
+	}
+	return out
+}
+
+// WriteJSON writes the report to a file.
+func (r *Report) WriteJSON(path string) error {
+	text, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(text, '\n'), 0o644)
+}
+
+// ReadJSON reads a report that WriteJSON wrote.
+func ReadJSON(path string) (*Report, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var r Report
+	if err := json.Unmarshal(text, &r); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if r.Version != Version {
+		return nil, fmt.Errorf("%s: version %d of the report's form, and this program reads %d", path, r.Version, Version)
+	}
+	return &r, nil
+}
+
+// Write puts index.html and report.json into a folder.
+func (r *Report) Write(dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	if err := r.WriteJSON(filepath.Join(dir, "report.json")); err != nil {
+		return err
+	}
+	f, err := os.Create(filepath.Join(dir, "index.html"))
+	if err != nil {
+		return err
+	}
+	if err := r.HTML(f); err != nil {
+		f.Close()
+		return err
+	}
+	return f.Close()
+}
+
+// Text writes tables for a terminal.
+func (r *Report) Text(w io.Writer) {
+	kind := "on sockets"
+	if r.Virtual {
+		kind = "in virtual time"
+	}
+	fmt.Fprintf(w, "%s, %s, seeds %v\n%s\n", r.Experiment, kind, r.Seeds, r.Question)
+	if len(r.Points) == 0 {
+		r.table(w, r.Arms)
+	}
+	for _, p := range r.Points {
+		fmt.Fprintf(w, "\n%s\n", p.Point)
+		r.table(w, p.Arms)
+	}
+	if r.Stopped != "" {
+		fmt.Fprintf(w, "\nstopped early: %s\n", r.Stopped)
+	}
+	for _, m := range r.Missed {
+		fmt.Fprintf(w, "\nnot met: %s", m)
+	}
+	if len(r.Missed) > 0 {
+		fmt.Fprintln(w)
+	}
+}
+
+func (r *Report) table(w io.Writer, arms []Arm) {
+	fmt.Fprintf(w, "%-18s %9s %8s %7s %7s %7s %7s %8s %8s %8s %8s %6s\n", "arm", "offered", "in time", "late", "refused", "failed",
+		"worth", "p50 ms", "p90 ms", "p99 ms", "p99.9 ms", "tries")
+	for i := range arms {
+		a := &arms[i]
+		fmt.Fprintf(w, "%-18s %9d %7.2f%% %6.2f%% %6.2f%% %6.2f%% %7.4f %8.1f %8.1f %8.1f %8.1f %6.3f\n", a.Name, a.Offered,
+			100*a.Share(a.ServedInTime), 100*a.Share(a.Late), 100*a.Share(a.Refused), 100*a.Share(a.Failed), a.Worth,
+			a.LatencyMs.P50, a.LatencyMs.P90, a.LatencyMs.P99, a.LatencyMs.P999, a.Attempts)
+	}
+	for i := range arms {
+		a := &arms[i]
+		for _, rule := range a.Rules {
+			if rule.Broken > 0 {
+				fmt.Fprintf(w, "  %s breaks %q %d times, first at %.2f s: %s\n", a.Name, rule.Rule, rule.Broken, rule.FirstS, rule.Detail)
+			}
+		}
+		for _, p := range a.Repeats {
+			if p.Void != "" {
+				fmt.Fprintf(w, "  %s, seed %d is void: %s\n", a.Name, p.Seed, p.Void)
+			}
+		}
+		if c := a.Cost; c != nil {
+			fmt.Fprintf(w, "  %s: %.1f us of CPU a request, %.0f MB, %d descriptors; the rig sent %.1f ms late (p99)\n", a.Name,
+				c.CPUPerReqUs, c.MemoryMB, c.Descriptors, a.LatenessMs)
+		}
+	}
+}
