--- a/internal/lab/expfile/read.go
+++ b/internal/lab/expfile/read.go
@@ -29,8 +29,10 @@
 	r.diags = append(r.diags, &hcl.Diagnostic{Severity: hcl.DiagError, Summary: fmt.Sprintf(format, args...), Subject: &at})
 }
 
-// body reads a body. What it does not know is a fault of the file.
-func (r *reader) body(body hcl.Body, f fields, b blocks) {
+// body reads a body. What it does not know is a fault of the file. It tells whether all was well: what does not add up
+// after a fault is mostly the fault's echo.
+func (r *reader) body(body hcl.Body, f fields, b blocks) bool {
+	before := len(r.diags)
 	var schema hcl.BodySchema
 	for name := range f {
 		name, required := strings.CutSuffix(name, "!")
@@ -47,7 +49,7 @@
 	content, diags := body.Content(&schema)
 	r.diags = append(r.diags, diags...)
 	if content == nil {
-		return
+		return false
 	}
 	var names []string
 	for name := range f {
@@ -66,6 +68,7 @@
 			}
 		}
 	}
+	return len(r.diags) == before
 }
 
 // rate is a number of times a second, written with its unit: "50/s" or "3000/min".
--- /dev/null
+++ b/internal/lab/report/report_test.go
@@ -0,0 +1,124 @@
+package report
+
+import (
+	"bytes"
+	"encoding/json"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"tuliprock/internal/lab"
+	"tuliprock/internal/lab/ledger"
+	"tuliprock/internal/lab/tally"
+)
+
+// made is a report of two repeats of one arm: of each 90 in time, 10 failed, and a rule broken once.
+func made(t *testing.T, served int) (*lab.Experiment, *Report) {
+	t.Helper()
+	e := &lab.Experiment{Name: "x", Question: "<why>?", Seeds: []uint64{1, 2}, Duration: 2 * time.Second,
+		Site: lab.Site{Classes: []lab.Class{{Name: "c", Worth: 1}}}, Arms: []lab.Arm{{Name: "a", Policy: "random"}},
+		Faults: []lab.Fault{{Kind: lab.Crash, At: time.Second, For: time.Second}},
+		Expect: []lab.Expectation{{RulesKept: true, Place: "x.hcl:1:1"}, {ServedOver: 0.95, Place: "x.hcl:2:1"}, {P99Under: time.Second, Place: "x.hcl:3:1"}}}
+	var plays []Played
+	for seed := range uint64(2) {
+		y := tally.New(e)
+		for i := range 100 {
+			f := tally.InTime
+			if i >= served+int(seed) {
+				f = tally.Failed
+			}
+			y.Ended(e.Site.Classes[0], 0, -1, time.Duration(i)*20*time.Millisecond, time.Duration(i+1)*time.Millisecond, f)
+		}
+		y.Requests, y.Attempts = 100, 120
+		plays = append(plays, Played{Arm: e.Arms[0], Seed: seed + 1, Tally: y, Verdicts: []ledger.Verdict{
+			{Rule: ledger.Answer}, {Rule: ledger.Drain, Broken: 1, First: time.Duration(2-seed) * time.Second, Detail: "late"}}})
+	}
+	plays = append(plays, Played{Arm: e.Arms[0], Seed: 3, Tally: tally.New(e), Void: "late"})
+	r := New(e, true)
+	r.Arms = Summarise(e, plays)
+	return e, r
+}
+
+func TestSummary(t *testing.T) {
+	e, r := made(t, 90)
+	a := r.Arms[0]
+	if a.Offered != 200 || a.ServedInTime != 181 || a.Failed != 19 || a.Attempts != 1.2 || len(a.Repeats) != 3 {
+		t.Errorf("%+v", a)
+	}
+	if a.LatencyMs.P50 < 44 || a.LatencyMs.P50 > 47 {
+		t.Errorf("p50 %v ms of 1 to 91", a.LatencyMs.P50)
+	}
+	if d := a.Rules[1]; d.Broken != 2 || d.FirstS != 1 {
+		t.Errorf("rule: %+v", d)
+	}
+	want := []string{`x.hcl:1:1: arm a: rule "drain" is broken 2 times, first at 1.0 s: late`, "x.hcl:2:1: arm a: served in time: 0.9050, wanted over 0.95"}
+	if got := Judge(e, r.Arms); strings.Join(got, "\n") != strings.Join(want, "\n") {
+		t.Errorf("judged:\n%s", strings.Join(got, "\n"))
+	}
+}
+
+func TestFormsOfTheReport(t *testing.T) {
+	_, r := made(t, 90)
+	dir := t.TempDir()
+	if err := r.Write(dir); err != nil {
+		t.Fatal(err)
+	}
+	back, err := ReadJSON(filepath.Join(dir, "report.json"))
+	if err != nil || back.Arms[0].ServedInTime != 181 {
+		t.Fatalf("read back: %+v, %v", back, err)
+	}
+	var page, text bytes.Buffer
+	if err := r.HTML(&page); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"<svg", "&lt;why&gt;", "crash", "drain", "90.50%"} {
+		if !strings.Contains(page.String(), want) {
+			t.Errorf("the page lacks %q", want)
+		}
+	}
+	for _, outside := range []string{"http://", "https://", "<script", "<link"} {
+		for line := range strings.SplitSeq(page.String(), "\n") {
+			if strings.Contains(line, outside) && !strings.Contains(line, "www.w3.org") { // a name space is no address
+				t.Errorf("the page has a part from outside: %.80s", line)
+			}
+		}
+	}
+	r.Text(&text)
+	if !strings.Contains(text.String(), `a breaks "drain" 2 times`) {
+		t.Errorf("the text:\n%s", &text)
+	}
+	b, err := json.Marshal(r)
+	if err != nil || !strings.HasPrefix(string(b), `{"version":1,"experiment":"x"`) {
+		t.Errorf("JSON: %.60s, %v", b, err)
+	}
+}
+
+func TestCompareTellsNoiseApart(t *testing.T) {
+	_, a := made(t, 90)
+	_, b := made(t, 90)
+	_, c := made(t, 40)
+	beyond := func(x, y *Report) []string {
+		differences, err := Compare(x, y)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var out []string
+		for _, d := range differences {
+			if d.Beyond() {
+				out = append(out, d.Figure)
+			}
+		}
+		return out
+	}
+	if got := beyond(a, b); len(got) != 0 {
+		t.Errorf("two alike differ in %v", got)
+	}
+	if got := strings.Join(beyond(a, c), ", "); got != "served in time, failed, worth, p50 ms, p99 ms" {
+		t.Errorf("half served differs in %s", got)
+	}
+	c.Virtual = false
+	if _, err := Compare(a, c); err == nil {
+		t.Error("virtual time and sockets were compared")
+	}
+}
--- a/internal/lab/rig/clients.go
+++ b/internal/lab/rig/clients.go
@@ -89,6 +89,7 @@
 		}
 		switch {
 		case errors.Is(err, errSilent):
+			r.ledger.Unanswered(m.id)
 			return outcome{fate: ledger.Failed}
 		case errors.Is(err, errClosed):
 			if !used || s.killed.Load() {
