--- a/cmd/tuliprock/main_test.go
+++ b/cmd/tuliprock/main_test.go
@@ -6,7 +6,10 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -83,3 +86,17 @@
 		t.Error("never ended")
 	}
 }
+
+// The platform's program stays lean: whatever the rest of the repository uses, it links only this.
+func TestLinksNothingHeavy(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", "-f", "{{if not .Standard}}{{.ImportPath}}{{end}}", ".").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	allowed := []string{"golang.org/x/net/netutil", "tuliprock", "tuliprock/cmd/tuliprock", "tuliprock/internal/sidecar", "tuliprock/internal/wire"}
+	for dep := range strings.FieldsSeq(string(out)) {
+		if !slices.Contains(allowed, dep) {
+			t.Errorf("it links %s", dep)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/rig/rig_test.go
@@ -0,0 +1,67 @@
+package rig
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"tuliprock/internal/lab"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("net/http.(*persistConn).readLoop"), goleak.IgnoreAnyFunction("net/http.(*persistConn).writeLoop"))
+}
+
+// A program that does not get healthy ends the play with a message that says so, and is not left running.
+func TestProgramsThatDoNotStart(t *testing.T) {
+	for _, c := range []struct{ name, line, want string }{
+		{"hangs", "echo $$ >pid; exec sleep 600", "balancer-0 was not healthy within 300ms"},
+		{"ends", "echo no room >&2; exit 4", "balancer-0 ended before it was healthy: exit status 4; it wrote: no room"},
+		{"is not there", "exec ./nothing", "balancer-0 ended before it was healthy: exit status 127"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			dir := t.TempDir()
+			program := Command{Line: c.line, Dir: dir, Scratch: dir}
+			_, err := Run(t.Context(), small(), lab.Arm{Name: "x"}, 1, Options{Program: program, StartWithin: 300 * time.Millisecond})
+			if err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("got %v, want %s", err, c.want)
+			}
+			if pid, err := os.ReadFile(filepath.Join(dir, "pid")); err == nil {
+				if _, err := os.Stat("/proc/" + strings.TrimSpace(string(pid))); err == nil {
+					t.Errorf("process %s is left", pid)
+				}
+			}
+		})
+	}
+}
+
+// An interrupt ends all that was started, and what had been measured comes back.
+func TestInterrupt(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	e := small()
+	e.Duration = time.Hour
+	asked := make(chan struct{}, 1)
+	go func() {
+		<-asked
+		stop()
+	}()
+	got, err := Run(ctx, e, lab.Arm{Name: "x"}, 1, Options{Program: planted("none"), Progress: func(time.Duration) {
+		select {
+		case asked <- struct{}{}:
+		default:
+		}
+	}})
+	if !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v", err)
+	}
+	if n := got.Tally.Total.Offered(); n < 20 {
+		t.Errorf("%d requests were measured before the interrupt", n)
+	}
+}
