--- a/balancer.go
+++ b/balancer.go
@@ -326,7 +326,7 @@
 // it goes through comes in heaps: behind one that is out of the question no better one can be.
 func (b *Balancer) pick(now time.Duration, q *request, turns, trials search) *endpoint {
 	var trial, turn, soonest *endpoint
-	trials(func(e *endpoint) bool {
+	trials.each(func(e *endpoint) bool {
 		if now < e.trialAt || trial != nil && !soonerTrial(e, trial) {
 			return false
 		}
@@ -339,7 +339,7 @@
 		return trial
 	}
 	lowest, active := math.Inf(1), false
-	turns(func(e *endpoint) bool {
+	turns.each(func(e *endpoint) bool {
 		active = true
 		deficit := e.deficit - b.zero(e)
 		if deficit > lowest {
@@ -359,7 +359,7 @@
 	if active {
 		return turn
 	}
-	trials(func(e *endpoint) bool {
+	trials.each(func(e *endpoint) bool {
 		if soonest != nil && !soonerTrial(e, soonest) {
 			return false
 		}
@@ -376,16 +376,7 @@
 	if b.whole {
 		return nil // they have been looked through
 	}
-	among := func(active bool) search {
-		return func(more func(e *endpoint) bool) {
-			for _, e := range b.endpoints {
-				if e.State != Gone && e.active == active && (active || !e.trial) {
-					more(e)
-				}
-			}
-		}
-	}
-	return b.pick(now, q, among(true), among(false))
+	return b.pick(now, q, search{among: b.endpoints, active: true}, search{among: b.endpoints})
 }
 
 // holds is what an endpoint is taken to have in hand: what its probe said, else what is out from here or, if
@@ -400,7 +391,7 @@
 // dispatch sends a request to the endpoint picked, or holds it. Resends are not held back for room.
 func (b *Balancer) dispatch(now time.Duration, q *request) {
 	if len(q.attempts) > 0 || float64(b.out) < b.room && (len(b.waiting) == 0 || q.held) {
-		e := b.pick(now, q, b.turns.search, b.trials.search)
+		e := b.pick(now, q, search{in: &b.turns}, search{in: &b.trials})
 		if e == nil && len(q.attempts) > 0 {
 			e = b.pickAny(now, q)
 		}
--- a/index.go
+++ b/index.go
@@ -16,8 +16,25 @@
 	list   []*endpoint
 }
 
-// search goes through endpoints. Where more is false, those behind that endpoint in its order need not be seen.
-type search func(more func(e *endpoint) bool)
+// search goes through the endpoints of an order, or else through those among which are active, or wait for a trial.
+// It is no func or interface: what it is handed would then be allocated for each search.
+type search struct {
+	in     *order
+	among  []*endpoint
+	active bool
+}
+
+// each hands over endpoints. Where more is false, those behind that endpoint in its order need not be seen.
+func (s search) each(more func(e *endpoint) bool) {
+	if s.in != nil {
+		s.in.visit(0, more)
+	}
+	for _, e := range s.among {
+		if e.State != Gone && e.active == s.active && (e.active || !e.trial) {
+			more(e)
+		}
+	}
+}
 
 func lessDeficit(x, y *endpoint) bool {
 	return x.deficit < y.deficit || x.deficit == y.deficit && x.pos < y.pos
@@ -80,9 +97,7 @@
 	}
 }
 
-// search implements the func of that name.
-func (o *order) search(more func(e *endpoint) bool) { o.visit(0, more) }
-
+// visit goes through the endpoint at i and those behind it.
 func (o *order) visit(i int, more func(e *endpoint) bool) {
 	if i < len(o.list) && more(o.list[i]) {
 		o.visit(2*i+1, more)
--- a/internal/lab/virtual/client.go
+++ b/internal/lab/virtual/client.go
@@ -15,9 +15,11 @@
 // want is something that a client wants, with its retries.
 type want struct {
 	*traffic.Request
-	n     int // place in the list
-	tries int
-	ended bool
+	w        *world
+	n        int // place in the list
+	tries    int
+	current  *call  // the try that is on
+	patience *event // its end
 }
 
 func sortCalls(calls []*call) {
@@ -26,7 +28,7 @@
 
 // want begins what a client wants. The front deals clients out among the instances that it knows to be up.
 func (w *world) want(now time.Duration, n int, r *traffic.Request) {
-	w.try(now, &want{Request: r, n: n})
+	w.try(now, &want{Request: r, w: w, n: n})
 }
 
 func (w *world) instance(v *want) *instance {
@@ -45,44 +47,46 @@
 	v.tries++
 	n := v.tries
 	deadline := min(now+v.Patience, v.At+class.Deadline)
-	current := true
-	var patience *event
-	c := &call{id: strconv.Itoa(v.n) + "-" + strconv.Itoa(n), class: v.Class, tenant: v.Tenant, work: v.Work,
-		deadline: deadline, repeat: n > 1}
-	c.ended = func(now time.Duration, f ledger.Fate, retryAfter time.Duration) {
-		if current && !v.ended {
-			current = false
-			w.withdraw(patience)
-			w.tried(now, v, f, retryAfter)
-		}
-	}
+	var id [24]byte
+	text := strconv.AppendInt(append(strconv.AppendInt(id[:0], int64(v.n), 10), '-'), int64(n), 10)
+	c := &call{id: string(text), class: v.Class, tenant: v.Tenant, work: v.Work, deadline: deadline, repeat: n > 1, in: in, caller: v}
+	v.current = c
 	clients := &in.party
-	w.at(clients, now+w.hop(), func(now time.Duration) {
-		in.take(now, c)
-		if v.Leaves > 0 && n == 1 {
-			w.at(clients, v.At+v.Leaves, func(now time.Duration) {
-				if current && !v.ended {
-					v.ended = true
-					in.leave(now, c)
-				}
-			})
-		}
-	})
+	w.plan(clients, now+w.hop(), c, callTaken)
+	if v.Leaves > 0 && n == 1 {
+		w.at(clients, max(v.At+v.Leaves, now+2*w.e.Site.Delay), func(now time.Duration) {
+			if v.current == c {
+				v.current = nil
+				w.withdraw(v.patience)
+				in.leave(now, c)
+			}
+		})
+	}
 	// The client's own clock ends the try. What the instance still owes it, the ledger watches.
-	patience = w.at(clients, deadline+w.e.Site.Rules.AnswerSlack, func(now time.Duration) {
-		if current && !v.ended {
-			current = false
-			w.tried(now, v, ledger.Failed, 0)
-		}
-	})
+	v.patience = w.limit(clients, deadline+w.e.Site.Rules.AnswerSlack, c, callOutOfTime)
+}
+
+// ended implements caller.
+func (v *want) ended(now time.Duration, c *call) {
+	if v.current == c {
+		v.w.withdraw(v.patience)
+		v.w.tried(now, v, c.fate, c.retryAfter)
+	}
+}
+
+// outOfTime implements caller.
+func (v *want) outOfTime(now time.Duration, c *call) {
+	if v.current == c {
+		v.w.tried(now, v, ledger.Failed, 0)
+	}
 }
 
 // tried takes the end of one try: the request's end, or a retry where the client may ask again.
 func (w *world) tried(now time.Duration, v *want, f ledger.Fate, retryAfter time.Duration) {
 	class := &w.e.Site.Classes[v.Class]
 	took := now - v.At
+	v.current = nil
 	if f == ledger.Served {
-		v.ended = true
 		fate := tally.InTime
 		if took > class.Aim {
 			fate = tally.Late
@@ -99,7 +103,6 @@
 		w.at(&w.party, now+wait, func(now time.Duration) { w.try(now, v) })
 		return
 	}
-	v.ended = true
 	fate := tally.Failed
 	if f == ledger.Refused {
 		fate = tally.Refused
--- a/internal/lab/virtual/clock.go
+++ b/internal/lab/virtual/clock.go
@@ -9,12 +9,25 @@
 	seq  uint64
 }
 
+// actor is what most events happen to. An event names the actor and what happens: a closure for each would be most of
+// what a run allocates.
+type actor interface {
+	act(now time.Duration, what int)
+}
+
+// doing is an actor that does one thing.
+type doing func(now time.Duration)
+
+func (f doing) act(now time.Duration, _ int) { f(now) }
+
 type event struct {
 	at   time.Duration
 	rank uint64
 	seq  uint64
-	do   func(now time.Duration)
-	spot int // in the heap; far: in a slot; done: it has run or was withdrawn
+	who  actor
+	what int
+	spot int  // in the heap; far: in a slot; done: it has run or was withdrawn
+	kept bool // somebody may withdraw it
 }
 
 const (
@@ -34,6 +47,7 @@
 	heap  []*event
 	slots map[time.Duration][]*event // by the start of the time that they cover
 	free  [][]*event
+	spare []*event // to be used again
 }
 
 func before(a, b *event) bool {
@@ -47,12 +61,34 @@
 }
 
 // at schedules do for an instant, now at the earliest.
-func (s *schedule) at(p *party, at time.Duration, do func(now time.Duration)) *event {
+func (s *schedule) at(p *party, at time.Duration, do func(now time.Duration)) {
+	s.plan(p, at, doing(do), 0)
+}
+
+// plan schedules what happens to who.
+func (s *schedule) plan(p *party, at time.Duration, who actor, what int) {
+	var e *event
+	if n := len(s.spare); n > 0 {
+		e, s.spare = s.spare[n-1], s.spare[:n-1]
+	} else {
+		e = &event{}
+	}
+	s.add(p, e, at, who, what)
+}
+
+// limit schedules what withdraw may take back.
+func (s *schedule) limit(p *party, at time.Duration, who actor, what int) *event {
+	e := &event{kept: true}
+	s.add(p, e, at, who, what)
+	return e
+}
+
+func (s *schedule) add(p *party, e *event, at time.Duration, who actor, what int) {
 	p.seq++
-	e := &event{at: max(at, s.now), rank: p.rank, seq: p.seq, do: do}
+	e.at, e.rank, e.seq, e.who, e.what = max(at, s.now), p.rank, p.seq, who, what
 	if e.at < s.until {
 		s.push(e)
-		return e
+		return
 	}
 	e.spot = far
 	if s.slots == nil {
@@ -64,7 +100,6 @@
 		list, s.free = s.free[len(s.free)-1], s.free[:len(s.free)-1]
 	}
 	s.slots[start] = append(list, e)
-	return e
 }
 
 func (s *schedule) push(e *event) {
@@ -97,7 +132,7 @@
 	switch {
 	case e == nil || e.spot == done:
 	case e.spot == far:
-		e.spot, e.do = done, nil
+		e.spot, e.who = done, nil
 	default:
 		s.remove(e)
 	}
@@ -108,7 +143,7 @@
 	moved := s.heap[last]
 	s.heap[last] = nil
 	s.heap = s.heap[:last]
-	e.spot, e.do = done, nil
+	e.spot, e.who = done, nil
 	if i < last {
 		s.down(i, moved)
 		s.up(moved.spot, moved)
@@ -153,9 +188,12 @@
 		return false
 	}
 	e := s.heap[0]
-	do := e.do
+	who, what := e.who, e.what
 	s.remove(e)
 	s.now = e.at
-	do(e.at)
+	if !e.kept {
+		s.spare = append(s.spare, e)
+	}
+	who.act(s.now, what)
 	return true
 }
--- a/internal/lab/virtual/host.go
+++ b/internal/lab/virtual/host.go
@@ -109,13 +109,15 @@
 		return
 	}
 	h.wake = next
-	h.w.at(&h.party, next, func(now time.Duration) {
-		if h.wake == now {
-			h.wake = 0
-		}
-		h.advance(now)
-		h.reschedule()
-	})
+	h.w.plan(&h.party, next, h, 0)
+}
+
+func (h *host) act(now time.Duration, _ int) {
+	if h.wake == now {
+		h.wake = 0
+	}
+	h.advance(now)
+	h.reschedule()
 }
 
 // reach takes a request whose last byte has come.
@@ -202,24 +204,30 @@
 	e.n++
 	q := e.a.call
 	h.below.take(now, &call{id: q.id + "." + strconv.Itoa(e.a.n) + "." + strconv.Itoa(e.n), class: q.class, tenant: q.tenant,
-		work: q.work, deadline: now + h.w.e.Site.Classes[q.class].Deadline,
-		ended: func(now time.Duration, f ledger.Fate, _ time.Duration) {
-			if e.Over() {
-				return
-			}
-			h.advance(now)
-			if e.Over() {
-				return
-			}
-			if f == ledger.Served {
-				h.through(now, e)
-			} else {
-				h.end(now, e, tuliprock.Errored)
-			}
-			h.reschedule()
-		}})
+		work: q.work, deadline: now + h.w.e.Site.Classes[q.class].Deadline, in: h.below, caller: e})
 }
 
+// ended implements caller.
+func (e *errand) ended(now time.Duration, c *call) {
+	h := e.a.to
+	if e.Over() {
+		return
+	}
+	h.advance(now)
+	if e.Over() {
+		return
+	}
+	if c.fate == ledger.Served {
+		h.through(now, e)
+	} else {
+		h.end(now, e, tuliprock.Errored)
+	}
+	h.reschedule()
+}
+
+// outOfTime implements caller: a box waits for its sidecar's answer.
+func (e *errand) outOfTime(time.Duration, *call) {}
+
 // end answers a request and frees its slot.
 func (h *host) end(now time.Duration, e *errand, r tuliprock.Result) {
 	h.box.End(&e.Job)
--- a/internal/lab/virtual/instance.go
+++ b/internal/lab/virtual/instance.go
@@ -18,10 +18,44 @@
 	deadline time.Duration
 	repeat   bool
 	digest   uint64
-	ended    func(now time.Duration, f ledger.Fate, retryAfter time.Duration)
+	in       *instance // that is to take it
+	caller   caller
 
-	attempts []*attempt
-	over     bool
+	attempts   []*attempt
+	first      [2]*attempt // room for most
+	over       bool
+	fate       ledger.Fate // once over
+	retryAfter time.Duration
+}
+
+// caller is who made a call: a client, or a box for the tier below.
+type caller interface {
+	ended(now time.Duration, c *call)
+	outOfTime(now time.Duration, c *call)
+}
+
+// What happens to a call.
+const (
+	callTaken = iota
+	callEnded
+	callOutOfTime
+)
+
+func (c *call) act(now time.Duration, what int) {
+	switch what {
+	case callTaken:
+		c.in.take(now, c)
+	case callEnded:
+		c.caller.ended(now, c)
+	case callOutOfTime:
+		c.caller.outOfTime(now, c)
+	}
+}
+
+// end tells the caller, after a delay, how its call ended.
+func (c *call) end(at time.Duration, f ledger.Fate, retryAfter time.Duration) {
+	c.fate, c.retryAfter = f, retryAfter
+	c.in.w.plan(&c.in.party, at, c, callEnded)
 }
 
 // attempt is one Send.
@@ -132,7 +166,7 @@
 	}
 	sortCalls(open)
 	for _, c := range open {
-		in.w.at(&in.party, now+in.w.e.Site.Delay, func(now time.Duration) { c.ended(now, ledger.Failed, 0) })
+		c.end(now+in.w.e.Site.Delay, ledger.Failed, 0)
 	}
 }
 
@@ -143,13 +177,14 @@
 func (in *instance) take(now time.Duration, c *call) {
 	w := in.w
 	if in.down {
-		w.at(&in.party, now+w.e.Site.Delay, func(now time.Duration) { c.ended(now, ledger.Failed, unreachable) })
+		c.end(now+w.e.Site.Delay, ledger.Failed, unreachable)
 		return
 	}
 	c.digest = lab.Seed(w.seed, c.id)
 	class := &w.e.Site.Classes[c.class]
 	w.ledger.Taken(now, ledger.Request{ID: c.id, Instance: in.name, Effect: class.Effect, Deadline: c.deadline, Digest: 1})
 	in.calls[c.id] = c
+	c.attempts = c.first[:0]
 	if in.tier == 0 {
 		w.tally.Requests++
 	}
@@ -160,6 +195,13 @@
 	in.policy.Request(zero+now, r)
 }
 
+// act rings a timer of the life that asked for it.
+func (in *instance) act(now time.Duration, life int) {
+	if !in.down && in.life == life {
+		in.policy.Timer(zero + now)
+	}
+}
+
 // leave reports that the caller has gone.
 func (in *instance) leave(now time.Duration, c *call) {
 	if in.down || c.over || in.calls[c.id] != c {
@@ -178,8 +220,7 @@
 	}
 	c.over = true
 	in.w.ledger.Answered(now, c.id, f, c.digest)
-	w := in.w
-	w.at(&in.party, now+w.hop(), func(now time.Duration) { c.ended(now, f, retryAfter) })
+	c.end(now+in.w.hop(), f, retryAfter)
 	in.forget(c)
 }
 
@@ -220,13 +261,25 @@
 	in.forget(c)
 }
 
-// later ends the attempt at an instant, if nothing else has by then.
-func (a *attempt) later(at time.Duration, r tuliprock.Result) *event {
-	return a.in.w.at(&a.in.party, at, func(now time.Duration) {
+// reaches is what happens to an attempt at its box; all else that happens is its end, by its result.
+const reaches = -1
+
+func (a *attempt) act(now time.Duration, what int) {
+	switch {
+	case what != reaches:
 		if !a.in.down && a.in.life == a.life {
-			a.over(now, r)
+			a.over(now, tuliprock.Result(what))
 		}
-	})
+	case a.ended && a.in.down || a.to.life != a.toLife: // what was not yet written whole breaks with its sender
+		a.comesBack(now, tuliprock.Reset)
+	default:
+		a.to.reach(now, a)
+	}
+}
+
+// later ends the attempt at an instant, if nothing else has by then.
+func (a *attempt) later(at time.Duration, r tuliprock.Result) {
+	a.in.w.plan(&a.in.party, at, a, int(r))
 }
 
 // comesBack carries what the box sent, or the break of the connection, to the instance.
@@ -311,7 +364,7 @@
 		a.later(now, tuliprock.NotSent)
 		return
 	}
-	a.limit = a.later(now+max(min(timeout, c.deadline-now), 0), tuliprock.TimedOut)
+	a.limit = w.limit(&in.party, now+max(min(timeout, c.deadline-now), 0), a, int(tuliprock.TimedOut))
 	lag := w.hop()
 	a.toLife = h.life
 	if !in.link(now, h) {
@@ -331,13 +384,7 @@
 		a.later(now+lag, tuliprock.ConnectFailed)
 		return
 	}
-	w.at(&in.party, now+lag, func(now time.Duration) {
-		if a.ended && a.in.down || h.life != a.toLife { // what was not yet written whole breaks with its sender
-			a.comesBack(now, tuliprock.Reset)
-			return
-		}
-		h.reach(now, a)
-	})
+	w.plan(&in.party, now+lag, a, reaches)
 }
 
 // Cancel implements tuliprock.Host.
@@ -369,12 +416,7 @@
 // Timer implements tuliprock.Host.
 func (hs *hands) Timer(at time.Duration) {
 	in := (*instance)(hs)
-	life := in.life
-	in.w.at(&in.party, at-zero, func(now time.Duration) {
-		if !in.down && in.life == life {
-			in.policy.Timer(zero + now)
-		}
-	})
+	in.w.plan(&in.party, at-zero, in, in.life)
 }
 
 // Log implements tuliprock.Host.
