--- a/internal/lab/virtual/clock.go
+++ b/internal/lab/virtual/clock.go
@@ -35,19 +35,23 @@
 	far
 )
 
-// slot is the time that one slot of far events covers.
-const slot = 16 * time.Millisecond
+// slot is the time that one slot of far events covers, and horizon how many slots lie ready.
+const (
+	slot    = time.Millisecond
+	horizon = 1 << 13
+)
 
 // schedule holds the events to come: those of the present slot of time in a four-ary heap, half the depth of a binary
 // one; later ones in slots, without order. Most of them are time limits that will be kept and withdrawn, and never see
 // the heap.
 type schedule struct {
 	now   time.Duration
-	until time.Duration // events before it are in the heap
+	next  int64 // slot that comes into the heap next
 	heap  []*event
-	slots map[time.Duration][]*event // by the start of the time that they cover
-	free  [][]*event
-	spare []*event // to be used again
+	slots [horizon][]*event
+	later map[int64][]*event // slots beyond the horizon
+	out   int                // far events, withdrawn ones included
+	spare []*event           // to be used again
 }
 
 func before(a, b *event) bool {
@@ -86,20 +90,21 @@
 func (s *schedule) add(p *party, e *event, at time.Duration, who actor, what int) {
 	p.seq++
 	e.at, e.rank, e.seq, e.who, e.what = max(at, s.now), p.rank, p.seq, who, what
-	if e.at < s.until {
+	n := int64(e.at / slot)
+	if n < s.next {
 		s.push(e)
 		return
 	}
 	e.spot = far
-	if s.slots == nil {
-		s.slots = map[time.Duration][]*event{}
+	s.out++
+	if n-s.next < horizon {
+		s.slots[n%horizon] = append(s.slots[n%horizon], e)
+		return
 	}
-	start := e.at / slot * slot
-	list := s.slots[start]
-	if list == nil && len(s.free) > 0 {
-		list, s.free = s.free[len(s.free)-1], s.free[:len(s.free)-1]
+	if s.later == nil {
+		s.later = map[int64][]*event{}
 	}
-	s.slots[start] = append(list, e)
+	s.later[n] = append(s.later[n], e)
 }
 
 func (s *schedule) push(e *event) {
@@ -109,21 +114,25 @@
 
 // fill brings the events of the next slot that has any into the heap, if the heap is empty.
 func (s *schedule) fill() {
-	for len(s.heap) == 0 && len(s.slots) > 0 {
-		start := s.until / slot * slot
-		s.until = start + slot
-		list, ok := s.slots[start]
-		if !ok {
-			continue
+	for len(s.heap) == 0 && s.out > 0 {
+		list := s.slots[s.next%horizon]
+		s.slots[s.next%horizon] = list[:0]
+		s.take(list)
+		if late, ok := s.later[s.next]; ok {
+			delete(s.later, s.next)
+			s.take(late)
 		}
-		delete(s.slots, start)
-		for i, e := range list {
-			if e.spot == far {
-				s.push(e)
-			}
-			list[i] = nil
+		s.next++
+	}
+}
+
+func (s *schedule) take(list []*event) {
+	s.out -= len(list)
+	for i, e := range list {
+		if e.spot == far {
+			s.push(e)
 		}
-		s.free = append(s.free, list[:0])
+		list[i] = nil
 	}
 }
 
