--- a/balancer.go
+++ b/balancer.go
@@ -115,7 +115,7 @@
 	}
 	unready := func(e *endpoint) bool { return e.State != Ready }
 	b.sorted = slices.DeleteFunc(b.sorted, func(e *endpoint) bool {
-		return unready(e) || len(touched) > 0 && e.heard == b.lists
+		return unready(e) || len(touched) > 0 && e.changed == b.lists
 	})
 	if len(touched) > 64 {
 		b.sorted = append(b.sorted, touched...)
--- a/state.go
+++ b/state.go
@@ -28,7 +28,8 @@
 	held         float64       // load that the latest probe reported
 	heldAt       time.Duration
 	mention      int    // its place among all that were ever mentioned
-	heard        int    // latest list that named it
+	heard        int    // latest list that named it,
+	changed      int    // and that said something new of it
 	in           bool   // belongs to the table
 	pos          int    // place there: of two alike, the first is taken
 	places       [3]int // in the orders that it is in, from 1
@@ -198,6 +199,10 @@
 			e.State = Gone
 			b.byName[in.ID], b.endpoints = e, append(b.endpoints, e)
 		}
+		e.heard = b.lists
+		if e.kind != nil && e.Endpoint == in {
+			continue
+		}
 		if e.kind == nil || in.Started > e.Started {
 			started = append(started, e)
 		}
@@ -209,7 +214,7 @@
 			b.kinds[in.Kind], b.kindList = e.kind, append(b.kindList, e.kind)
 		}
 		was := e.State
-		e.Endpoint, e.heard = in, b.lists
+		e.Endpoint, e.changed = in, b.lists
 		b.tally(was, in.State)
 		touched = append(touched, e)
 	}
@@ -217,7 +222,7 @@
 		for _, e := range b.endpoints {
 			if e.heard != b.lists && e.State != Gone {
 				b.tally(e.State, Gone)
-				e.State, e.heard = Gone, b.lists
+				e.State, e.changed = Gone, b.lists
 				touched = append(touched, e)
 			}
 		}
