Take the engine out of the sidecar: one pool, for any front and roster

The daemon will host many pools behind other fronts and rosters, and what hosts one Balancer was the platform's own. internal/engine is that part: it takes calls and members and gives one reply each; the sidecar keeps its callers, its discovery and its signals.

--- a/internal/sidecar/loop.go
+++ b/internal/engine/engine.go
@@ -1,9 +1,12 @@
-package sidecar
+// Package engine hosts one Balancer for one pool of endpoints: the goroutine that owns it, and the connections over which
+// it sends. Fronts hand it calls, rosters hand it members. It carries out what the module decides and decides nothing.
+package engine
 
 import (
 	"context"
 	"log/slog"
 	"slices"
+	"sync"
 	"time"
 
 	"tuliprock"
@@ -26,51 +29,123 @@
 	return max(clockStart+time.Duration(unixMs-c.started.UnixMilli())*time.Millisecond, 0)
 }
 
-// reply is the final answer to a caller.
-type reply struct {
-	status     int
-	retryAfter time.Duration
-	answer     answer
+// Kind is what the final answer to a call is.
+type Kind int
+
+// The kinds. Only Refused and Duplicate promise that the call has not run.
+const (
+	Served    Kind = iota // an endpoint's whole answer
+	Refused               // turned away; trying again is harmless
+	Failed                // nothing is promised
+	Duplicate             // its id is or was in use
+)
+
+// Reply is the final answer to a call.
+type Reply struct {
+	Kind       Kind
+	RetryAfter time.Duration // for Refused; 0: no advice
+	Answer     Answer        // for Served
 }
 
-// call is a request that was taken.
-type call struct {
+// Call is a request that a front has taken. NewCall makes one.
+type Call struct {
 	tuliprock.Request
-	message *message
-	replies chan reply // takes the one final answer without blocking
+	message *Message
+	replies chan Reply // takes the one final answer without blocking
 
-	// The loop's own:
+	// The engine's own:
 	over    bool // answered, or the caller has left
 	cancels []context.CancelFunc
 	out     int // attempts out
 }
 
-// loop owns the Balancer. All that happens is posted to it and handled in turn by its one goroutine.
-type loop struct {
+// NewCall makes a call of a request, as the module is to see it, and of the message that endpoints are to get.
+func NewCall(r tuliprock.Request, m *Message) *Call {
+	return &Call{Request: r, message: m, replies: make(chan Reply, 1)}
+}
+
+// Reply gives the one final answer.
+func (c *Call) Reply() <-chan Reply { return c.replies }
+
+// Member is an endpoint as a roster lists it.
+type Member struct {
+	ID, Addr, Zone, Kind string
+	Cell                 int
+	State                tuliprock.State
+	StartedMs            int64 // Unix time of the latest start; 0: long ago
+}
+
+// Members is what a roster says: the whole list, or what has changed.
+type Members struct {
+	Complete bool
+	Members  []Member
+}
+
+// Options are what an engine needs beside the module's settings.
+type Options struct {
+	ConnIdle    time.Duration // endpoints close a connection that has been idle for this long; 0: not told
+	DialTimeout time.Duration // a connection not made by then has failed; 0: not told
+	Conns       int           // connections open at once
+	Subscribe   func()        // asks the roster for all changes from now on; it must not block
+	Log         *slog.Logger
+}
+
+// Engine owns a Balancer. All that happens is posted to it and handled in turn by its one goroutine.
+type Engine struct {
 	clock    clock
 	balancer tuliprock.Events
 	events   chan func(now time.Duration)
 	done     chan struct{}
 	upstream *upstream
-	ask      func() // asks discovery for a watch
+	ask      func()
 	log      *slog.Logger
 
-	calls   map[string]*call
+	calls   map[string]*Call
 	taken   recent // ids of requests, answered ones included
 	members map[string]bool
 	timers  []time.Duration           // sorted
 	later   []func(now time.Duration) // events that arose within a Host method
 }
 
-func newLoop(s tuliprock.Settings, u *upstream, ask func(), log *slog.Logger) *loop {
-	l := &loop{clock: clock{time.Now()}, events: make(chan func(time.Duration), 256), done: make(chan struct{}),
-		upstream: u, ask: ask, log: log, calls: map[string]*call{}, members: map[string]bool{}}
+// New returns an engine that knows the members given, the first that the module hears of. Run does the work.
+func New(s tuliprock.Settings, known Members, o Options) *Engine {
+	l := &Engine{clock: clock{time.Now()}, events: make(chan func(time.Duration), 256), done: make(chan struct{}),
+		upstream: newUpstream(o.ConnIdle, o.DialTimeout, o.Conns), ask: o.Subscribe, log: o.Log, calls: map[string]*Call{}, members: map[string]bool{}}
 	l.balancer = tuliprock.New(l.clock.now(), s, host{l})
+	l.list(l.clock.now(), known)
 	return l
 }
 
+// Now is the instant by the clock that the module's instants are of.
+func (l *Engine) Now() time.Duration { return l.clock.now() }
+
+// Done is closed when the engine has ended: no reply comes any more.
+func (l *Engine) Done() <-chan struct{} { return l.done }
+
+// Take hands over a call. Its one reply comes on Call.Reply.
+func (l *Engine) Take(c *Call) { l.post(func(now time.Duration) { l.start(now, c) }) }
+
+// Leave reports that the caller has gone: no answer is owed any more.
+func (l *Engine) Leave(c *Call) { l.post(func(now time.Duration) { l.leave(now, c) }) }
+
+// Heard reports what a roster says.
+func (l *Engine) Heard(m Members) { l.post(func(now time.Duration) { l.list(now, m) }) }
+
+// RosterFailed reports that an ask failed or a subscription broke: the old list stands.
+func (l *Engine) RosterFailed() {
+	l.post(func(now time.Duration) { l.balancer.EndpointList(now, tuliprock.List{Failed: true}) })
+}
+
+// Run works until ctx ends.
+func (l *Engine) Run(ctx context.Context) {
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	parts.Go(func() { l.upstream.run(ctx) })
+	l.run(ctx)
+}
+
 // post hands an event to the loop. It must not be called from within the loop.
-func (l *loop) post(event func(now time.Duration)) {
+func (l *Engine) post(event func(now time.Duration)) {
 	select {
 	case l.events <- event:
 	case <-l.done:
@@ -78,7 +153,7 @@
 }
 
 // run handles events until ctx ends.
-func (l *loop) run(ctx context.Context) {
+func (l *Engine) run(ctx context.Context) {
 	defer close(l.done)
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
@@ -97,7 +172,7 @@
 	}
 }
 
-func (l *loop) handle(event func(now time.Duration)) {
+func (l *Engine) handle(event func(now time.Duration)) {
 	event(l.clock.now())
 	for len(l.later) > 0 {
 		next := l.later[0]
@@ -108,7 +183,7 @@
 
 // ring reports the timers that are due. One asked for meanwhile waits for the next turn, so that timers can't keep
 // other events out.
-func (l *loop) ring(now time.Duration) {
+func (l *Engine) ring(now time.Duration) {
 	due, _ := slices.BinarySearch(l.timers, now+1)
 	l.timers = slices.Delete(l.timers, 0, due)
 	for range due {
@@ -118,9 +193,9 @@
 
 // start takes a request. One whose id is or was in use is turned away: every request of a caller's own has a new one,
 // and a repeat must neither disturb the first nor reach an endpoint.
-func (l *loop) start(now time.Duration, c *call) {
+func (l *Engine) start(now time.Duration, c *Call) {
 	if !l.taken.add(c.ID) || l.calls[c.ID] != nil {
-		c.replies <- reply{status: statusDuplicate}
+		c.replies <- Reply{Kind: Duplicate}
 		return
 	}
 	l.calls[c.ID] = c
@@ -128,7 +203,7 @@
 }
 
 // leave reports that the caller of a request has gone.
-func (l *loop) leave(now time.Duration, c *call) {
+func (l *Engine) leave(now time.Duration, c *Call) {
 	if l.calls[c.ID] == c && !c.over {
 		c.over = true
 		l.balancer.ClientLeft(now, c.ID)
@@ -137,7 +212,7 @@
 }
 
 // finish gives the final answer, once.
-func (l *loop) finish(c *call, r reply) {
+func (l *Engine) finish(c *Call, r Reply) {
 	if c == nil || c.over {
 		return
 	}
@@ -147,29 +222,29 @@
 }
 
 // forget drops a call of which nothing is to come any more.
-func (l *loop) forget(c *call) {
+func (l *Engine) forget(c *Call) {
 	if c.over && c.out == 0 && l.calls[c.ID] == c {
 		delete(l.calls, c.ID)
 	}
 }
 
 // ended reports the end of an attempt. A whole answer is passed on at once; one that comes too late is dropped.
-func (l *loop) ended(now time.Duration, c *call, o tuliprock.Outcome, sent time.Duration, a answer) {
+func (l *Engine) ended(now time.Duration, c *Call, o tuliprock.Outcome, sent time.Duration, a Answer) {
 	c.out--
 	o.Took, o.Final = now-sent, c.over
 	if o.Result == tuliprock.OK && !c.over {
 		o.Final = true
-		l.finish(c, reply{status: statusServed, answer: a})
+		l.finish(c, Reply{Kind: Served, Answer: a})
 	}
 	l.balancer.Outcome(now, o)
 	l.forget(c)
 }
 
-// list reports what discovery says.
-func (l *loop) list(now time.Duration, m Members) {
-	out := tuliprock.List{Complete: m.Full}
+// list tells the module and the connections what a roster says.
+func (l *Engine) list(now time.Duration, m Members) {
+	out := tuliprock.List{Complete: m.Complete}
 	listed := map[string]bool{}
-	for _, s := range m.Servers {
+	for _, s := range m.Members {
 		out.Entries = append(out.Entries, tuliprock.Endpoint{ID: s.ID, State: s.State, Zone: s.Zone, Kind: s.Kind,
 			Cell: s.Cell, Started: l.clock.instant(s.StartedMs)})
 		listed[s.ID] = true
@@ -180,7 +255,7 @@
 		l.members[s.ID] = true
 		l.upstream.setMember(s.ID, s.Addr, s.State == tuliprock.Ready)
 	}
-	if m.Full {
+	if m.Complete {
 		for id := range l.members {
 			if !listed[id] {
 				l.remove(id)
@@ -190,14 +265,14 @@
 	l.balancer.EndpointList(now, out)
 }
 
-func (l *loop) remove(id string) {
+func (l *Engine) remove(id string) {
 	delete(l.members, id)
 	l.upstream.removeMember(id)
 }
 
 // host carries out what the Balancer asks for. It runs on the loop's goroutine, blocks on nothing and does not call
 // back.
-type host struct{ *loop }
+type host struct{ *Engine }
 
 var _ tuliprock.Host = host{}
 
@@ -214,11 +289,11 @@
 	c.out++
 	if c.over {
 		o.Result = tuliprock.NotSent
-		h.later = append(h.later, func(now time.Duration) { h.ended(now, c, o, sent, answer{}) })
+		h.later = append(h.later, func(now time.Duration) { h.ended(now, c, o, sent, Answer{}) })
 		return
 	}
 	go func() {
-		var a answer
+		var a Answer
 		o.Result, a = h.upstream.attempt(ctx, endpoint, c.message)
 		cancel()
 		h.post(func(now time.Duration) { h.ended(now, c, o, sent, a) })
@@ -234,11 +309,11 @@
 
 // Refuse implements tuliprock.Host.
 func (h host) Refuse(id string, retryAfter time.Duration) {
-	h.finish(h.calls[id], reply{status: statusRefused, retryAfter: retryAfter})
+	h.finish(h.calls[id], Reply{Kind: Refused, RetryAfter: retryAfter})
 }
 
 // Fail implements tuliprock.Host.
-func (h host) Fail(id string) { h.finish(h.calls[id], reply{status: statusFailed}) }
+func (h host) Fail(id string) { h.finish(h.calls[id], Reply{Kind: Failed}) }
 
 // Probe implements tuliprock.Host. Probing endpoints is ruled out; the settings given to the module never allow it.
 func (h host) Probe(endpoint string) {
--- a/internal/sidecar/upstream.go
+++ b/internal/engine/upstream.go
@@ -1,4 +1,4 @@
-package sidecar
+package engine
 
 import (
 	"bufio"
@@ -18,31 +18,35 @@
 )
 
 const (
-	maxBody      = 64 << 10 // of a request or an answer
-	maxHead      = 16 << 10
-	maxInterim   = 8 // 1xx answers ahead of the one that counts
-	sweepEvery   = 100 * time.Millisecond
-	idleLeast    = 100 * time.Millisecond // idle connections this young are used whatever closes were seen
-	defaultIdle  = 15 * time.Second
-	defaultDial  = 250 * time.Millisecond
-	idleShare    = 0.9 // of the endpoint's idle limit, after which a connection is no longer used
-	declined     = "Srv-Declined"
-	deadlineName = "Req-Deadline-Ms"
+	maxInterim  = 8 // 1xx answers ahead of the one that counts
+	sweepEvery  = 100 * time.Millisecond
+	idleLeast   = 100 * time.Millisecond // idle connections this young are used whatever closes were seen
+	defaultIdle = 15 * time.Second
+	defaultDial = 250 * time.Millisecond
+	idleShare   = 0.9 // of the endpoint's idle limit, after which a connection is no longer used
+	declined    = "Srv-Declined"
 )
 
-// message is a request as it goes on to endpoints.
-type message struct {
-	method string
-	url    *url.URL
-	host   string
-	header http.Header
-	body   []byte
+// What both sides of an engine go by.
+const (
+	MaxBody        = 64 << 10          // bytes of a request's or an answer's body
+	MaxHead        = 16 << 10          // bytes of its head
+	DeadlineHeader = "Req-Deadline-Ms" // how long a caller waits, in milliseconds
+)
+
+// Message is a request as it goes on to endpoints.
+type Message struct {
+	Method string
+	URL    *url.URL
+	Host   string
+	Header http.Header // end to end; the deadline is set for each attempt
+	Body   []byte
 }
 
-// answer is an endpoint's whole 200 answer.
-type answer struct {
-	contentType string
-	body        []byte
+// Answer is an endpoint's whole 200 answer.
+type Answer struct {
+	ContentType string
+	Body        []byte
 }
 
 // upstream makes attempts over connections of its own. net/http's Transport is not used: it sends some requests
@@ -277,13 +281,13 @@
 
 // attempt sends a request once and tells by evidence how that ended. When ctx ends, the connection is closed before
 // attempt returns: no second attempt can be out beside this one.
-func (u *upstream) attempt(ctx context.Context, id string, m *message) (tuliprock.Result, answer) {
+func (u *upstream) attempt(ctx context.Context, id string, m *Message) (tuliprock.Result, Answer) {
 	c, err := u.take(ctx, id)
 	if errors.Is(err, errNotTried) {
-		return tuliprock.NotSent, answer{}
+		return tuliprock.NotSent, Answer{}
 	}
 	if err != nil {
-		return unlessCanceled(ctx, tuliprock.ConnectFailed), answer{}
+		return unlessCanceled(ctx, tuliprock.ConnectFailed), Answer{}
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	result, a, reusable := c.exchange(ctx, m)
@@ -312,27 +316,27 @@
 }
 
 // exchange writes the request and reads the whole answer.
-func (c *conn) exchange(ctx context.Context, m *message) (r tuliprock.Result, a answer, reusable bool) {
+func (c *conn) exchange(ctx context.Context, m *Message) (r tuliprock.Result, a Answer, reusable bool) {
 	text, err := m.bytes(ctx)
 	if err != nil {
-		return tuliprock.NotSent, answer{}, false
+		return tuliprock.NotSent, Answer{}, false
 	}
 	// An endpoint begins a request when its last byte has come: one not written whole has not run.
 	if n, _ := c.Write(text); n < len(text) {
-		return unlessCanceled(ctx, tuliprock.ConnectFailed), answer{}, false
+		return unlessCanceled(ctx, tuliprock.ConnectFailed), Answer{}, false
 	}
-	resp, body, err := c.readAnswer(m.method)
+	resp, body, err := c.readAnswer(m.Method)
 	if err != nil {
-		return broken(ctx), answer{}, false
+		return broken(ctx), Answer{}, false
 	}
 	reusable = !resp.Close && c.read.Buffered() == 0
 	switch {
 	case resp.StatusCode == http.StatusOK:
-		return tuliprock.OK, answer{resp.Header.Get("Content-Type"), body}, reusable
+		return tuliprock.OK, Answer{resp.Header.Get("Content-Type"), body}, reusable
 	case isUnavailable(resp.StatusCode) && resp.Header.Get(declined) == "1":
-		return tuliprock.Full, answer{}, reusable
+		return tuliprock.Full, Answer{}, reusable
 	}
-	return tuliprock.Errored, answer{}, reusable
+	return tuliprock.Errored, Answer{}, reusable
 }
 
 func isUnavailable(status int) bool {
@@ -341,7 +345,7 @@
 
 // readAnswer reads an answer whole. One without a length could end early unseen and is not taken for whole.
 func (c *conn) readAnswer(method string) (*http.Response, []byte, error) {
-	c.limit.N = maxHead + maxBody
+	c.limit.N = MaxHead + MaxBody
 	for range maxInterim {
 		resp, err := http.ReadResponse(c.read, &http.Request{Method: method})
 		if err != nil {
@@ -354,8 +358,8 @@
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, nil, errors.New("an answer of unknown length")
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-		if err == nil && len(body) > maxBody {
+		body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
+		if err == nil && len(body) > MaxBody {
 			err = errors.New("the answer is too long")
 		}
 		return resp, body, err
@@ -364,14 +368,14 @@
 }
 
 // bytes is the request as written to an endpoint. Its deadline says how long this sidecar waits.
-func (m *message) bytes(ctx context.Context) ([]byte, error) {
-	header := m.header.Clone()
+func (m *Message) bytes(ctx context.Context) ([]byte, error) {
+	header := m.Header.Clone()
 	if at, ok := ctx.Deadline(); ok {
-		header.Set(deadlineName, strconv.FormatInt(max(time.Until(at).Milliseconds(), 1), 10))
+		header.Set(DeadlineHeader, strconv.FormatInt(max(time.Until(at).Milliseconds(), 1), 10))
 	}
-	r := &http.Request{Method: m.method, URL: m.url, Host: m.host, Header: header, ContentLength: int64(len(m.body))}
-	if len(m.body) > 0 {
-		r.Body = io.NopCloser(bytes.NewReader(m.body))
+	r := &http.Request{Method: m.Method, URL: m.URL, Host: m.Host, Header: header, ContentLength: int64(len(m.Body))}
+	if len(m.Body) > 0 {
+		r.Body = io.NopCloser(bytes.NewReader(m.Body))
 	}
 	var text bytes.Buffer
 	err := r.Write(&text)
--- a/internal/sidecar/upstream_test.go
+++ b/internal/engine/upstream_test.go
@@ -1,77 +1,18 @@
-package sidecar
+package engine
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"tuliprock"
 )
 
-const patience = 20 * time.Second // no test should come near it
-
-// endpoint accepts connections and hands each request that comes whole to serve, which returns false to close.
-type endpoint struct {
-	addr        string
-	listener    net.Listener
-	connections atomic.Int32
-	requests    atomic.Int32
-}
-
-func newEndpoint(t *testing.T, serve func(nc net.Conn, r *http.Request, n int) bool) *endpoint {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	e := &endpoint{addr: l.Addr().String(), listener: l}
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			e.connections.Add(1)
-			go e.run(nc, serve)
-		}
-	}()
-	return e
-}
-
-func (e *endpoint) run(nc net.Conn, serve func(net.Conn, *http.Request, int) bool) {
-	defer nc.Close()
-	in := bufio.NewReader(nc)
-	for {
-		r, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
-			return
-		}
-		if !serve(nc, r, int(e.requests.Add(1))) {
-			return
-		}
-	}
-}
-
-func says(text string, stay bool) func(net.Conn, *http.Request, int) bool {
-	return func(nc net.Conn, _ *http.Request, _ int) bool {
-		io.WriteString(nc, text)
-		return stay
-	}
-}
-
-const served = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
-
 func testUpstream(t *testing.T, addrs ...string) *upstream {
 	t.Helper()
 	u := newUpstream(time.Minute, patience, 100)
@@ -82,8 +23,8 @@
 	return u
 }
 
-func get(path string) *message {
-	return &message{method: http.MethodGet, url: &url.URL{Path: path}, host: "api.internal", header: http.Header{"Req-Id": {"r1"}}}
+func get(path string) *Message {
+	return &Message{Method: http.MethodGet, URL: &url.URL{Path: path}, Host: "api.internal", Header: http.Header{"Req-Id": {"r1"}}}
 }
 
 func ctxFor(t *testing.T, d time.Duration) context.Context {
@@ -119,14 +60,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := newEndpoint(t, says(row.says, row.stay))
-			result, a := testUpstream(t, e.addr).attempt(ctxFor(t, patience), "a", get("/c"))
+			result, a := testUpstream(t, e.Addr).attempt(ctxFor(t, patience), "a", get("/c"))
 			if result != row.want {
 				t.Errorf("outcome %v, want %v", result, row.want)
 			}
-			if want := map[bool]string{true: "hi"}[row.want == tuliprock.OK]; string(a.body) != want {
-				t.Errorf("body %q, want %q", a.body, want)
+			if want := map[bool]string{true: "hi"}[row.want == tuliprock.OK]; string(a.Body) != want {
+				t.Errorf("body %q, want %q", a.Body, want)
 			}
-			if n := e.requests.Load(); n != 1 {
+			if n := e.Requests.Load(); n != 1 {
 				t.Errorf("the request came %d times", n)
 			}
 		})
@@ -135,12 +76,12 @@
 
 func TestNoConnectionIsConnectFailed(t *testing.T) {
 	e := newEndpoint(t, says(served, true))
-	u := testUpstream(t, e.addr)
+	u := testUpstream(t, e.Addr)
 	u.dialTimeout = time.Nanosecond
 	if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.ConnectFailed {
 		t.Errorf("never up: %v", r)
 	}
-	e.listener.Close()
+	e.Listener.Close()
 	u.dialTimeout = patience
 	if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.ConnectFailed {
 		t.Errorf("refused: %v", r)
@@ -159,7 +100,7 @@
 		io.WriteString(nc, served)
 		return true
 	})
-	u := testUpstream(t, e.addr)
+	u := testUpstream(t, e.Addr)
 	u.most = 1
 	first := make(chan tuliprock.Result)
 	go func() {
@@ -194,7 +135,7 @@
 		}
 	}()
 	m := get("/c")
-	m.method, m.body = http.MethodPost, make([]byte, 64<<20) // more than socket buffers hold
+	m.Method, m.Body = http.MethodPost, make([]byte, 64<<20) // more than socket buffers hold
 	if r, _ := testUpstream(t, l.Addr().String()).attempt(ctxFor(t, patience), "a", m); r != tuliprock.ConnectFailed {
 		t.Errorf("outcome %v", r)
 	}
@@ -210,7 +151,7 @@
 			closed <- err
 			return false
 		})
-		u := testUpstream(t, e.addr)
+		u := testUpstream(t, e.Addr)
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		if want == tuliprock.TimedOut {
 			ctx, cancel = context.WithTimeout(context.Background(), 300*time.Millisecond)
@@ -241,32 +182,22 @@
 			io.WriteString(nc, served)
 			return true
 		})
-		u := testUpstream(t, e.addr)
+		u := testUpstream(t, e.Addr)
 		m := get("/c")
-		m.method = method
-		m.header.Set("Idempotency-Key", "k")
+		m.Method = method
+		m.Header.Set("Idempotency-Key", "k")
 		if r, _ := u.attempt(ctxFor(t, patience), "a", m); r != tuliprock.OK {
 			t.Fatalf("first: %v", r)
 		}
 		if r, _ := u.attempt(ctxFor(t, patience), "a", m); r != tuliprock.Reset {
 			t.Errorf("%s on a connection that broke: %v", method, r)
 		}
-		if n, c := e.requests.Load(), e.connections.Load(); n != 2 || c != 1 {
+		if n, c := e.Requests.Load(), e.Connections.Load(); n != 2 || c != 1 {
 			t.Errorf("%s: %d requests on %d connections", method, n, c)
 		}
 	}
 }
 
-// until polls for what the kernel does in its own time.
-func until(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("never: %s", what)
-		}
-	}
-}
-
 func TestADeadIdleConnectionIsNotPicked(t *testing.T) {
 	for name, behind := range map[string]string{"closed": "", "bytes that nobody asked for": "x"} {
 		answered := make(chan bool, 1)
@@ -278,7 +209,7 @@
 			}
 			return n > 1
 		})
-		u := testUpstream(t, e.addr)
+		u := testUpstream(t, e.Addr)
 		if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.OK {
 			t.Fatalf("%s: first: %v", name, r)
 		}
@@ -287,7 +218,7 @@
 		if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.OK {
 			t.Errorf("%s: second: %v", name, r)
 		}
-		if c := e.connections.Load(); c != 2 {
+		if c := e.Connections.Load(); c != 2 {
 			t.Errorf("%s: %d connections", name, c)
 		}
 	}
@@ -296,13 +227,13 @@
 func TestConnectionsAreReusedAndRetired(t *testing.T) {
 	e := newEndpoint(t, says(served, true))
 	other := newEndpoint(t, says(served, true))
-	u := testUpstream(t, e.addr)
+	u := testUpstream(t, e.Addr)
 	try := func(want int32) {
 		t.Helper()
 		if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.OK {
 			t.Fatalf("outcome %v", r)
 		}
-		if c := e.connections.Load(); c != want {
+		if c := e.Connections.Load(); c != want {
 			t.Errorf("%d connections, want %d", c, want)
 		}
 	}
@@ -310,12 +241,12 @@
 	try(1)
 	u.pools["a"].idle[0].idleAt = time.Now().Add(-u.idleFor) // the endpoint may close it any moment
 	try(2)
-	u.setMember("a", other.addr, true) // moved: the old connection leads elsewhere
+	u.setMember("a", other.Addr, true) // moved: the old connection leads elsewhere
 	try(2)
-	if c := other.connections.Load(); c != 1 || u.open != 1 {
+	if c := other.Connections.Load(); c != 1 || u.open != 1 {
 		t.Errorf("%d connections to the new address, %d open", c, u.open)
 	}
-	u.setMember("a", other.addr, false)
+	u.setMember("a", other.Addr, false)
 	if u.open != 0 {
 		t.Errorf("%d connections to an endpoint that drains", u.open)
 	}
@@ -332,7 +263,7 @@
 		}
 		return n != 1
 	})
-	u := testUpstream(t, e.addr)
+	u := testUpstream(t, e.Addr)
 	send := func() {
 		t.Helper()
 		if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.OK {
@@ -359,7 +290,7 @@
 
 func TestIdleConnectionsGiveWayToNewOnes(t *testing.T) {
 	e, f := newEndpoint(t, says(served, true)), newEndpoint(t, says(served, true))
-	u := testUpstream(t, e.addr, f.addr)
+	u := testUpstream(t, e.Addr, f.Addr)
 	u.most = 1
 	for _, id := range []string{"a", "b", "a"} {
 		if r, _ := u.attempt(ctxFor(t, patience), id, get("/c")); r != tuliprock.OK {
--- a/internal/sidecar/callers_test.go
+++ b/internal/sidecar/callers_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"testing"
 	"time"
+	"tuliprock/internal/testpeer"
 )
 
 // accepted gives both ends of a caller's connection that net/http holds for idle.
@@ -92,11 +93,7 @@
 func TestARequestThatHasComeIsReadBeforeTheEnd(t *testing.T) {
 	l, c, client := accepted(t)
 	io.WriteString(client, "request")
-	nc, err := c.Conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		t.Fatal(err)
-	}
-	until(t, "the request comes", func() bool { return !(&conn{raw: nc}).quiet() })
+	until(t, "the request comes", func() bool { return testpeer.Pending(c.Conn.(*net.TCPConn)) })
 	l.retireIdle()
 	if n, err := c.Read(make([]byte, 7)); n == 0 || err != nil {
 		t.Errorf("%d bytes, %v", n, err)
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"tuliprock"
+	"tuliprock/internal/engine"
 )
 
 const (
@@ -46,6 +47,16 @@
 	Servers []Member `json:"servers"`
 }
 
+// members is the message as an engine hears it.
+func (m Members) members() engine.Members {
+	out := engine.Members{Complete: m.Full}
+	for _, s := range m.Servers {
+		out.Members = append(out.Members, engine.Member{ID: s.ID, Addr: s.Addr, Zone: s.Zone, Kind: s.Kind, Cell: s.Cell,
+			State: s.State, StartedMs: s.StartedMs})
+	}
+	return out
+}
+
 var stateNames = map[string]tuliprock.State{"Ready": tuliprock.Ready, "Terminating": tuliprock.Draining, "Gone": tuliprock.Gone}
 
 // parseMembers reads and checks a message from discovery. One bad entry spoils the message.
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -61,7 +62,8 @@
 	if change != nil {
 		change(f.discovery)
 	}
-	ctx := ctxFor(t, 2*patience)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*patience)
+	t.Cleanup(cancel)
 	go f.run(ctx)
 	return f
 }
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"tuliprock"
+	"tuliprock/internal/engine"
 )
 
 // What callers are answered. Only a refusal is 503, and nothing is 429: both promise that nothing has run.
@@ -37,7 +38,7 @@
 
 // server is the callers' side.
 type server struct {
-	loop    *loop
+	engine  *engine.Engine
 	effects map[string]tuliprock.Effect // by class: all that are served
 	host    string                      // stands in where an HTTP/1.0 caller names no host
 	log     *slog.Logger
@@ -47,13 +48,13 @@
 }
 
 func (s *server) http(track func(net.Conn, http.ConnState)) *http.Server {
-	return &http.Server{Handler: s, ReadHeaderTimeout: headTimeout, IdleTimeout: callersIdle, MaxHeaderBytes: maxHead,
+	return &http.Server{Handler: s, ReadHeaderTimeout: headTimeout, IdleTimeout: callersIdle, MaxHeaderBytes: engine.MaxHead,
 		ConnState: track, ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelWarn)}
 }
 
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := s.loop.clock.now()
+	arrived := s.engine.Now()
 	w = &closing{w, &s.ending}
 	if status, err := checkFraming(r); err != nil {
 		reject(w, status, err)
@@ -75,15 +76,15 @@
 		reject(w, status, err)
 		return
 	}
-	s.loop.post(func(now time.Duration) { s.loop.start(now, c) })
+	s.engine.Take(c)
 	select {
-	case a := <-c.replies:
+	case a := <-c.Reply():
 		write(w, a)
 	case <-r.Context().Done():
-		s.loop.post(func(now time.Duration) { s.loop.leave(now, c) })
-		write(w, reply{status: statusFailed}) // net/http would answer 200 for us, and one half-closed may still read
-	case <-s.loop.done:
-		write(w, reply{status: statusFailed})
+		s.engine.Leave(c)
+		write(w, engine.Reply{Kind: engine.Failed}) // net/http would answer 200 for us, and one half-closed may still read
+	case <-s.engine.Done():
+		write(w, engine.Reply{Kind: engine.Failed})
 	}
 }
 
@@ -125,7 +126,7 @@
 func (w *closing) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
 // read makes a call of a request, or says what is wrong with it.
-func (s *server) read(r *http.Request, body []byte, arrived time.Duration) (*call, int, error) {
+func (s *server) read(r *http.Request, body []byte, arrived time.Duration) (*engine.Call, int, error) {
 	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	effect, listed := s.effects[class]
 	if !listed {
@@ -138,23 +139,20 @@
 	if err != nil || len(id) > maxID {
 		return nil, http.StatusBadRequest, errors.New("Req-Id: one of moderate length is wanted")
 	}
-	text, err := one(r.Header, deadlineName)
+	text, err := one(r.Header, engine.DeadlineHeader)
 	if err != nil {
 		return nil, http.StatusBadRequest, err
 	}
 	ms, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || ms < 1 || ms > maxDeadline.Milliseconds() {
-		return nil, http.StatusBadRequest, fmt.Errorf("%s: %.40q is no usable time", deadlineName, text)
+		return nil, http.StatusBadRequest, fmt.Errorf("%s: %.40q is no usable time", engine.DeadlineHeader, text)
 	}
 	if effect == tuliprock.Keyed && r.Header.Get("Idempotency-Key") == "" { // endpoints could not drop its repeats
 		return nil, http.StatusBadRequest, errors.New("Idempotency-Key: missing")
 	}
-	return &call{
-		Request: tuliprock.Request{ID: id, Class: class, Tenant: r.Header.Get("Req-Owner"),
-			Deadline: arrived + time.Duration(ms)*time.Millisecond - wayBack, Repeat: r.Header.Get("Req-Retry") == "1"},
-		message: &message{method: r.Method, url: r.URL, host: cmp.Or(r.Host, s.host), header: endToEnd(r.Header), body: body},
-		replies: make(chan reply, 1),
-	}, 0, nil
+	return engine.NewCall(tuliprock.Request{ID: id, Class: class, Tenant: r.Header.Get("Req-Owner"),
+		Deadline: arrived + time.Duration(ms)*time.Millisecond - wayBack, Repeat: r.Header.Get("Req-Retry") == "1"},
+		&engine.Message{Method: r.Method, URL: r.URL, Host: cmp.Or(r.Host, s.host), Header: endToEnd(r.Header), Body: body}), 0, nil
 }
 
 // checkForm holds a request to the form that its class decides: what is safe is asked for with no body.
@@ -187,7 +185,7 @@
 	if err := control.SetReadDeadline(time.Now().Add(s.bodyTimeout)); err != nil {
 		return nil, http.StatusBadRequest, err
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, engine.MaxBody))
 	if tooLong := (*http.MaxBytesError)(nil); errors.As(err, &tooLong) {
 		return nil, http.StatusRequestEntityTooLarge, errors.New("the body is too long")
 	}
@@ -218,26 +216,30 @@
 	return out
 }
 
+// statuses are what the kinds of answers are to callers.
+var statuses = map[engine.Kind]int{engine.Served: statusServed, engine.Refused: statusRefused, engine.Failed: statusFailed,
+	engine.Duplicate: statusDuplicate}
+
 // write sends the final answer.
-func write(w http.ResponseWriter, r reply) {
+func write(w http.ResponseWriter, r engine.Reply) {
 	// Bounded, so that a caller that does not read can't hold a connection for good. An error means that it left.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	h := w.Header()
-	body := r.answer.body
-	if r.status == statusServed {
-		if r.answer.contentType != "" {
-			h.Set("Content-Type", r.answer.contentType)
+	status, body := statuses[r.Kind], r.Answer.Body
+	if r.Kind == engine.Served {
+		if r.Answer.ContentType != "" {
+			h.Set("Content-Type", r.Answer.ContentType)
 		} else {
 			h["Content-Type"] = nil
 		}
 	} else {
-		body = []byte(http.StatusText(r.status) + "\n")
+		body = []byte(http.StatusText(status) + "\n")
 		h.Set("Content-Type", "text/plain; charset=utf-8")
 	}
-	if r.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(r.status)
+	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
--- a/internal/sidecar/server_test.go
+++ b/internal/sidecar/server_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"testing/synctest"
 	"time"
+	"tuliprock/internal/engine"
 
 	"tuliprock"
 )
@@ -39,7 +40,7 @@
 	log := slog.New(slog.DiscardHandler)
 	listener := make(piped)
 	conns := &callers{Listener: listener, most: 100, open: map[*callerConn]bool{}}
-	s := &server{loop: newLoop(tuliprock.Settings{}, nil, nil, log), log: log, bodyTimeout: bodyTimeout}
+	s := &server{engine: engine.New(tuliprock.Settings{}, engine.Members{}, engine.Options{Log: log}), log: log, bodyTimeout: bodyTimeout}
 	h := s.http(conns.track)
 	ended := make(chan error)
 	go func() { ended <- h.Serve(conns) }()
@@ -104,7 +105,7 @@
 // of another was taken for one of its own.
 func TestARequestHiddenInABodyReachesNoEndpoint(t *testing.T) {
 	e := newEndpoint(t, says(served, true))
-	s := run(t, e.addr)
+	s := run(t, e.Addr)
 	const hidden = "GET /look HTTP/1.1\r\nHost: h\r\nReq-Id: hidden\r\nReq-Deadline-Ms: 6000\r\n\r\n"
 	const fields = "Host: h\r\nReq-Id: r1\r\nReq-Deadline-Ms: 6000\r\n"
 	for name, text := range map[string]string{
@@ -127,7 +128,7 @@
 			t.Errorf("%s: %d answers, %v: %q", name, n, err, answers)
 		}
 	}
-	if n := e.requests.Load(); n != 0 {
+	if n := e.Requests.Load(); n != 0 {
 		t.Errorf("%d requests reached the endpoint", n)
 	}
 }
@@ -138,7 +139,7 @@
 		nc.Read(make([]byte, 1)) // until the attempt is called off
 		return false
 	})
-	s := run(t, e.addr)
+	s := run(t, e.Addr)
 	nc, err := net.Dial("tcp", s.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -147,7 +148,7 @@
 	if err := s.request(t, http.MethodGet, "/look", "r1", 60000).Write(nc); err != nil {
 		t.Fatal(err)
 	}
-	until(t, "the request is passed on", func() bool { return e.requests.Load() > 0 })
+	until(t, "the request is passed on", func() bool { return e.Requests.Load() > 0 })
 	if err := nc.(*net.TCPConn).CloseWrite(); err != nil {
 		t.Fatal(err)
 	}
@@ -161,28 +162,13 @@
 // Seen on the same day: peers sent the ids of clients' requests again once those were answered.
 func TestAnAnsweredRequestIsNotTakenAgain(t *testing.T) {
 	e := newEndpoint(t, says(served, true))
-	s := run(t, e.addr)
+	s := run(t, e.Addr)
 	for i, want := range []int{http.StatusOK, statusDuplicate, statusDuplicate} {
 		if status, _, _ := ask(t, s.request(t, http.MethodGet, "/look?v="+fmt.Sprint(i), "same", 6000)); status != want {
 			t.Errorf("time %d: status %d, want %d", i, status, want)
 		}
 	}
-	if n := e.requests.Load(); n != 1 {
+	if n := e.Requests.Load(); n != 1 {
 		t.Errorf("%d requests reached the endpoint", n)
 	}
 }
-
-func TestRecentIDsAreBounded(t *testing.T) {
-	var r recent
-	for i := range 10 * recentMost {
-		if !r.add(fmt.Sprint(i)) {
-			t.Fatalf("id %d passes for known", i)
-		}
-		if i >= recentMost && r.add(fmt.Sprint(i-recentMost+1)) {
-			t.Fatalf("of %d ids, number %d is forgotten", i, i-recentMost+1)
-		}
-	}
-	if n := len(r.young) + len(r.old); n > 2*recentMost {
-		t.Errorf("%d ids are kept", n)
-	}
-}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -13,6 +13,7 @@
 	"golang.org/x/net/netutil"
 
 	"tuliprock"
+	"tuliprock/internal/engine"
 )
 
 const (
@@ -26,8 +27,7 @@
 	server    *http.Server
 	callers   *server
 	conns     *callers
-	loop      *loop
-	upstream  *upstream
+	engine    *engine.Engine
 	discovery *discovery
 }
 
@@ -40,27 +40,24 @@
 	settings := c.Settings.Settings
 	settings.MayProbe = false // probing endpoints is ruled out
 	each := (c.Limits.Sockets - otherDescriptors) / 2
-	up := newUpstream(c.Settings.ConnIdle, c.Settings.DialTimeout, max(each, 8))
 	d := &discovery{addr: c.Discovery, onAsk: settings.MustSubscribe, asked: make(chan struct{}, 1), version: c.Known.Version,
 		log: log, silence: watchSilence, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
-	l := newLoop(settings, up, d.subscribe, log)
-	d.deliver = func(m Members) { l.post(func(now time.Duration) { l.list(now, m) }) }
-	d.failed = func() {
-		l.post(func(now time.Duration) { l.balancer.EndpointList(now, tuliprock.List{Failed: true}) })
-	}
 	known := c.Known
 	known.Full = true // the list as it was last had, and the first that the module hears
-	l.list(l.clock.now(), known)
+	e := engine.New(settings, known.members(), engine.Options{ConnIdle: c.Settings.ConnIdle, DialTimeout: c.Settings.DialTimeout,
+		Conns: max(each, 8), Subscribe: d.subscribe, Log: log})
+	d.deliver = func(m Members) { e.Heard(m.members()) }
+	d.failed = e.RosterFailed
 
 	log.Info("listening", "addr", listener.Addr().String())
 	// Beyond the budget callers wait in the kernel's queue, which costs no descriptor and loses nothing.
 	conns := &callers{Listener: netutil.LimitListener(listener, max(each, 8)+spareCallers), most: max(each, 8), open: map[*callerConn]bool{}}
 
-	s := &server{loop: l, effects: map[string]tuliprock.Effect{}, host: c.Listen, log: log, bodyTimeout: bodyTimeout}
+	s := &server{engine: e, effects: map[string]tuliprock.Effect{}, host: c.Listen, log: log, bodyTimeout: bodyTimeout}
 	for _, class := range settings.Classes {
 		s.effects[class.Name] = class.Effect
 	}
-	return &Sidecar{server: s.http(conns.track), callers: s, conns: conns, loop: l, upstream: up, discovery: d}, nil
+	return &Sidecar{server: s.http(conns.track), callers: s, conns: conns, engine: e, discovery: d}, nil
 }
 
 // Addr is where the sidecar listens.
@@ -73,7 +70,7 @@
 func (s *Sidecar) Serve(ctx context.Context) error {
 	work, stop := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
-	for _, run := range []func(context.Context){s.loop.run, s.upstream.run, s.discovery.run} {
+	for _, run := range []func(context.Context){s.engine.Run, s.discovery.run} {
 		parts.Go(func() { run(work) })
 	}
 	defer parts.Wait()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -14,8 +14,6 @@
 	"sync"
 	"testing"
 	"time"
-
-	"tuliprock"
 )
 
 const laneSettings = `{"Lanes":[{"Name":"look","Semantics":"read_like","OnTimeUs":2000000},
@@ -150,16 +148,16 @@
 // What can't have run may be refused; what may have run is failed, and sent only once.
 func TestUnsafeWorkIsNotResentAndNotRefused(t *testing.T) {
 	e := newEndpoint(t, says("", false))
-	s := run(t, e.addr, e.addr, e.addr)
+	s := run(t, e.Addr, e.Addr, e.Addr)
 	if status, _, _ := ask(t, s.request(t, http.MethodPost, "/pay", "r1", 4000)); status != statusFailed {
 		t.Errorf("may have run: %d", status)
 	}
-	if n := e.requests.Load(); n != 1 {
+	if n := e.Requests.Load(); n != 1 {
 		t.Errorf("sent %d times", n)
 	}
 	closed := newEndpoint(t, says("", false))
-	closed.listener.Close()
-	s = run(t, closed.addr)
+	closed.Listener.Close()
+	s = run(t, closed.Addr)
 	status, _, h := ask(t, s.request(t, http.MethodPost, "/pay", "r2", 4000))
 	if status != statusRefused || h.Get("Retry-After") == "" {
 		t.Errorf("never ran: %d %v", status, h)
@@ -171,7 +169,7 @@
 		nc.Read(make([]byte, 1))
 		return false
 	})
-	s := run(t, e.addr)
+	s := run(t, e.Addr)
 	if status, _, _ := ask(t, s.request(t, http.MethodPost, "/pay", "r1", 300)); status != statusFailed {
 		t.Errorf("status %d", status)
 	}
@@ -206,7 +204,7 @@
 		io.WriteString(nc, served)
 		return true
 	})
-	s := run(t, e.addr)
+	s := run(t, e.Addr)
 	first := make(chan int)
 	go func() {
 		status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", "same", 60000))
@@ -220,14 +218,14 @@
 	if status := <-first; status != http.StatusOK {
 		t.Errorf("first: %d", status)
 	}
-	if n := e.requests.Load(); n != 1 {
+	if n := e.Requests.Load(); n != 1 {
 		t.Errorf("%d requests reached the endpoint", n)
 	}
 }
 
 func TestBadInputReachesNoEndpoint(t *testing.T) {
 	e := newEndpoint(t, says(served, true))
-	s := run(t, e.addr)
+	s := run(t, e.Addr)
 	const host, id, ms = " HTTP/1.1\r\nHost: h\r\n", "Req-Id: r1\r\n", "Req-Deadline-Ms: 1000\r\n"
 	for name, text := range map[string]string{
 		"noise":                     "\x01\x02 \x03\r\n\r\n",
@@ -268,7 +266,7 @@
 		}
 		nc.Close()
 	}
-	if n := e.requests.Load(); n != 0 {
+	if n := e.Requests.Load(); n != 0 {
 		t.Errorf("%d requests reached the endpoint", n)
 	}
 	if status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", "r1", 4000)); status != http.StatusOK {
@@ -288,7 +286,7 @@
 
 func TestNothingNewGoesToWhatDrainsOrIsGone(t *testing.T) {
 	a, b := newEndpoint(t, says(served, true)), newEndpoint(t, says(served, true))
-	s := run(t, a.addr, b.addr)
+	s := run(t, a.Addr, b.Addr)
 	n := 0
 	calls := func() (int32, int32) {
 		for range 8 {
@@ -297,16 +295,16 @@
 				t.Errorf("status %d", status)
 			}
 		}
-		return a.requests.Swap(0), b.requests.Swap(0)
+		return a.Requests.Swap(0), b.Requests.Swap(0)
 	}
 	if x, y := calls(); x == 0 || y == 0 {
 		t.Errorf("at first %d and %d", x, y)
 	}
-	s.tell(t, members(2, false, member("a", a.addr, "Terminating")))
+	s.tell(t, members(2, false, member("a", a.Addr, "Terminating")))
 	if x, y := calls(); x != 0 || y != 8 {
 		t.Errorf("with a draining, %d and %d", x, y)
 	}
-	s.tell(t, members(3, true, member("b", a.addr, "Ready"))) // a gone, b moved
+	s.tell(t, members(3, true, member("b", a.Addr, "Ready"))) // a gone, b moved
 	if x, y := calls(); x != 8 || y != 0 {
 		t.Errorf("with b moved, %d to its new address and %d to the old", x, y)
 	}
@@ -323,7 +321,7 @@
 		io.WriteString(nc, served)
 		return true
 	})
-	s := run(t, e.addr)
+	s := run(t, e.Addr)
 	var slow sync.WaitGroup
 	for i := range 3 {
 		slow.Go(func() {
@@ -373,7 +371,7 @@
 // Idle callers must give way when connections run short, and none may be lost.
 func TestIdleCallersGiveWay(t *testing.T) {
 	e := newEndpoint(t, says(served, true))
-	s := runWithin(t, `{"sockets":64}`, e.addr)
+	s := runWithin(t, `{"sockets":64}`, e.Addr)
 	for i := range 100 { // far over the limit
 		_, _, resp := keep(t, s.request(t, http.MethodGet, "/look", fmt.Sprint("r", i), 60000))
 		if resp.StatusCode != http.StatusOK {
@@ -382,28 +380,10 @@
 	}
 }
 
-// The same start must always be the same instant, or an old one would pass for a restart.
-func TestStartsOfEndpointsBecomeInstants(t *testing.T) {
-	c := clock{time.Now()}
-	at := c.started.UnixMilli()
-	if c.instant(0) != 0 {
-		t.Errorf("long ago: %v", c.instant(0))
-	}
-	if got := c.instant(at - 2000); got != clockStart-2*time.Second {
-		t.Errorf("two seconds before the start: %v", got)
-	}
-	if got := c.instant(1); got != 0 {
-		t.Errorf("years ago: %v", got)
-	}
-	if now := c.now(); now < clockStart {
-		t.Errorf("now: %v", now)
-	}
-}
-
 // A body that never ends must not hold its connection, whatever else is wrong with the request.
 func TestAnUnfinishedBodyIsGivenUp(t *testing.T) {
 	e := newEndpoint(t, says(served, true))
-	s := run(t, e.addr)
+	s := run(t, e.Addr)
 	s.callers.bodyTimeout = 100 * time.Millisecond
 	for name, fields := range map[string]string{"good": "Req-Id: r1\r\nReq-Deadline-Ms: 60000\r\n", "no id": ""} {
 		nc, err := net.Dial("tcp", s.addr)
@@ -418,32 +398,7 @@
 		}
 		nc.Close()
 	}
-	if n := e.requests.Load(); n != 0 {
+	if n := e.Requests.Load(); n != 0 {
 		t.Errorf("%d requests reached the endpoint", n)
 	}
 }
-
-// rearming asks for a timer that is due at once, each time one rings.
-type rearming struct {
-	tuliprock.Events
-	host  tuliprock.Host
-	rings int
-}
-
-func (r *rearming) Timer(now time.Duration) {
-	r.rings++
-	r.host.Timer(now)
-}
-
-// A timer that is asked for while one rings must wait for its turn, or other events never get theirs.
-func TestATimerDueAtOnceDoesNotHoldTheLoop(t *testing.T) {
-	l := newLoop(tuliprock.Settings{}, nil, nil, slog.New(slog.DiscardHandler))
-	r := &rearming{host: host{l}}
-	l.balancer = r
-	r.host.Timer(clockStart)
-	r.host.Timer(clockStart + 1)
-	l.handle(l.ring)
-	if r.rings != 2 || len(l.timers) != 2 {
-		t.Errorf("%d rings, %d timers wait", r.rings, len(l.timers))
-	}
-}
