Drop measures of the lab that nothing reads

Ledger.Counts and its counters, Box.Pressure and Box.Conns had no reader, in code or in tests. What they counted stands in the tally or is the model's own. Tests of the ledger, the box and the virtual driver pass unchanged.

--- a/internal/lab/box/box.go
+++ b/internal/lab/box/box.go
@@ -271,9 +271,6 @@
 	}
 }
 
-// Pressure is the work that has arrived within the window of the rule on cold boxes, in seconds.
-func (b *Box) Pressure() float64 { return b.sum }
-
 // Budget is the work that a cold box may be sent within the rule's window, in seconds.
 func (b *Box) Budget(now time.Duration) float64 {
 	return b.rule.FallOver * b.Capacity(now) * b.rule.FallWindow.Seconds()
@@ -372,9 +369,6 @@
 // Disconnect gives a connection back.
 func (b *Box) Disconnect() { b.conns = max(b.conns-1, 0) }
 
-// Conns is how many connections are open.
-func (b *Box) Conns() int { return b.conns }
-
 // note records the load as it has been up to now, at the instants at which reports are refreshed. The driver calls what
 // changes the load only through methods that note first, so one reading stands for all refreshes up to the next.
 func (b *Box) note() {
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -108,8 +108,6 @@
 	started  map[pair]bool // told of the box's latest start
 	pressed  map[string][]press
 	verdicts map[Rule]*Verdict
-	runs     int
-	requests int
 }
 
 // New returns an empty ledger. Slack is added to each limit of time.
@@ -136,7 +134,6 @@
 	c := &call{Request: r}
 	l.calls[r.ID] = c
 	l.queue = append(l.queue, c)
-	l.requests++
 	for len(l.queue) > 0 && l.queue[0].Deadline+keep < now {
 		l.settle(l.queue[0])
 		delete(l.calls, l.queue[0].ID)
@@ -244,7 +241,6 @@
 func (l *Ledger) Reached(a Arrival) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.runs++
 	c := l.calls[a.ID]
 	if c == nil {
 		l.broken(Foreign, a.First, "%s got a request %.40q that no client sent", a.Box, a.ID)
@@ -380,13 +376,6 @@
 	l.broken(Limits, now, "%s ended by itself: %s", instance, how)
 }
 
-// Counts tells how many requests were taken and how many arrivals boxes saw.
-func (l *Ledger) Counts() (requests, arrivals int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.requests, l.runs
-}
-
 // Close settles what is open and gives a verdict for every rule.
 func (l *Ledger) Close(now time.Duration) []Verdict {
 	l.mu.Lock()
