--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -86,6 +86,7 @@
 	ConnIdle    time.Duration // endpoints close a connection that has been idle for this long; 0: not told
 	DialTimeout time.Duration // a connection not made by then has failed; 0: not told
 	Conns       int           // connections open at once
+	Relay       bool          // answers below 500 are the endpoint's own and go on whole; else only 200 does, with its type
 	Subscribe   func()        // asks the roster for all changes from now on; it must not block
 	Log         *slog.Logger
 }
@@ -110,7 +111,7 @@
 // New returns an engine that knows the members given, the first that the module hears of. Run does the work.
 func New(s tuliprock.Settings, known Members, o Options) *Engine {
 	l := &Engine{clock: clock{time.Now()}, events: make(chan func(time.Duration), 256), done: make(chan struct{}),
-		upstream: newUpstream(o.ConnIdle, o.DialTimeout, o.Conns), ask: o.Subscribe, log: o.Log, calls: map[string]*Call{}, members: map[string]bool{}}
+		upstream: newUpstream(o), ask: o.Subscribe, log: o.Log, calls: map[string]*Call{}, members: map[string]bool{}}
 	l.balancer = tuliprock.New(l.clock.now(), s, host{l})
 	l.list(l.clock.now(), known)
 	return l
--- a/internal/engine/upstream.go
+++ b/internal/engine/upstream.go
@@ -43,17 +43,19 @@
 	Body   []byte
 }
 
-// Answer is an endpoint's whole 200 answer.
+// Answer is an endpoint's whole answer.
 type Answer struct {
-	ContentType string
-	Body        []byte
+	Status int
+	Header http.Header // what goes on to the caller
+	Body   []byte
 }
 
 // upstream makes attempts over connections of its own. net/http's Transport is not used: it sends some requests
 // again by itself when a reused connection breaks, which is a second copy, and dials spare connections.
 type upstream struct {
 	dialTimeout time.Duration
-	most        int // connections open at once
+	most        int  // connections open at once
+	relay       bool // answers below 500 are passed on as they are
 
 	mu      sync.Mutex
 	idleFor time.Duration // after which an idle connection is no longer used
@@ -79,14 +81,15 @@
 	idleAt time.Time
 }
 
-func newUpstream(idle, dial time.Duration, most int) *upstream {
+func newUpstream(o Options) *upstream {
+	idle, dial := o.ConnIdle, o.DialTimeout
 	if idle <= 0 {
 		idle = defaultIdle
 	}
 	if dial <= 0 {
 		dial = defaultDial
 	}
-	return &upstream{idleFor: time.Duration(float64(idle) * idleShare), dialTimeout: dial, most: most, pools: map[string]*pool{}}
+	return &upstream{idleFor: time.Duration(float64(idle) * idleShare), dialTimeout: dial, most: o.Conns, relay: o.Relay, pools: map[string]*pool{}}
 }
 
 // setMember says where an endpoint is and whether connections to it are worth keeping. Those to an old address, or
@@ -290,7 +293,7 @@
 		return unlessCanceled(ctx, tuliprock.ConnectFailed), Answer{}
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	result, a, reusable := c.exchange(ctx, m)
+	result, a, reusable := c.exchange(ctx, m, u.relay)
 	if stop() && reusable {
 		u.giveBack(c)
 	} else {
@@ -316,7 +319,7 @@
 }
 
 // exchange writes the request and reads the whole answer.
-func (c *conn) exchange(ctx context.Context, m *Message) (r tuliprock.Result, a Answer, reusable bool) {
+func (c *conn) exchange(ctx context.Context, m *Message, relay bool) (r tuliprock.Result, a Answer, reusable bool) {
 	text, err := m.bytes(ctx)
 	if err != nil {
 		return tuliprock.NotSent, Answer{}, false
@@ -331,8 +334,14 @@
 	}
 	reusable = !resp.Close && c.read.Buffered() == 0
 	switch {
-	case resp.StatusCode == http.StatusOK:
-		return tuliprock.OK, Answer{resp.Header.Get("Content-Type"), body}, reusable
+	case resp.StatusCode == http.StatusOK || relay && resp.StatusCode < http.StatusInternalServerError:
+		header := http.Header{}
+		if relay {
+			header = EndToEnd(resp.Header)
+		} else if v := resp.Header.Get("Content-Type"); v != "" {
+			header.Set("Content-Type", v)
+		}
+		return tuliprock.OK, Answer{resp.StatusCode, header, body}, reusable
 	case isUnavailable(resp.StatusCode) && resp.Header.Get(declined) == "1":
 		return tuliprock.Full, Answer{}, reusable
 	}
--- a/internal/engine/upstream_test.go
+++ b/internal/engine/upstream_test.go
@@ -15,7 +15,7 @@
 
 func testUpstream(t *testing.T, addrs ...string) *upstream {
 	t.Helper()
-	u := newUpstream(time.Minute, patience, 100)
+	u := newUpstream(Options{ConnIdle: time.Minute, DialTimeout: patience, Conns: 100})
 	for i, addr := range addrs {
 		u.setMember(string(rune('a'+i)), addr, true)
 	}
--- a/internal/sidecar/callers.go
+++ b/internal/front/plain/conns.go
@@ -1,4 +1,4 @@
-package sidecar
+package plain
 
 import (
 	"errors"
@@ -16,13 +16,13 @@
 	lastLook   = 20 * time.Millisecond // for what has come on a connection about to be closed
 )
 
-// callers keeps the callers' connections and closes idle ones: the one idle for longest where there are too many,
+// Conns keeps the callers' connections and closes idle ones: the one idle for longest where there are too many,
 // all of them at the end.
 //
 // It guards against closing a connection on which a request has just been read. net/http's own Shutdown and
 // SetKeepAlivesEnabled do that, and a close from its ConnState hook would: there a connection counts as idle until
 // the head of a request has been read whole, and what is read during a Shutdown is dropped.
-type callers struct {
+type Conns struct {
 	net.Listener
 	most int
 
@@ -30,10 +30,15 @@
 	open map[*callerConn]bool
 }
 
+// NewConns keeps the connections that a listener accepts, closing idle ones where there are more than most.
+func NewConns(l net.Listener, most int) *Conns {
+	return &Conns{Listener: l, most: most, open: map[*callerConn]bool{}}
+}
+
 // callerConn is a caller's connection. It knows whether anything was read since the last answer.
 type callerConn struct {
 	net.Conn
-	all *callers
+	all *Conns
 
 	// all.mu guards these:
 	unread  bool      // no byte has come since the last write
@@ -44,7 +49,7 @@
 }
 
 // Accept implements net.Listener.
-func (l *callers) Accept() (net.Conn, error) {
+func (l *Conns) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -58,7 +63,7 @@
 }
 
 // track follows a connection's state for http.Server.
-func (l *callers) track(nc net.Conn, state http.ConnState) {
+func (l *Conns) track(nc net.Conn, state http.ConnState) {
 	c := nc.(*callerConn)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -74,7 +79,7 @@
 }
 
 // makeRoom retires the connection idle for longest if there are too many. l.mu is held.
-func (l *callers) makeRoom() {
+func (l *Conns) makeRoom() {
 	if len(l.open) <= l.most {
 		return
 	}
@@ -143,9 +148,9 @@
 	return c.Conn.Write(b)
 }
 
-// finish closes the listener, retires what is idle and returns when all connections have ended, each with its last
+// Finish closes the listener, retires what is idle and returns when all connections have ended, each with its last
 // request answered.
-func (l *callers) finish() error {
+func (l *Conns) Finish() error {
 	err := l.Listener.Close()
 	for l.retireIdle() > 0 {
 		time.Sleep(lookAround)
@@ -154,7 +159,7 @@
 }
 
 // retireIdle retires all idle connections, and new ones that stay silent, and tells how many are open.
-func (l *callers) retireIdle() int {
+func (l *Conns) retireIdle() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.open {
--- a/internal/sidecar/callers_test.go
+++ b/internal/front/plain/conns_test.go
@@ -1,4 +1,4 @@
-package sidecar
+package plain
 
 import (
 	"io"
@@ -10,13 +10,13 @@
 )
 
 // accepted gives both ends of a caller's connection that net/http holds for idle.
-func accepted(t *testing.T) (*callers, *callerConn, net.Conn) {
+func accepted(t *testing.T) (*Conns, *callerConn, net.Conn) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &callers{Listener: listener, most: 100, open: map[*callerConn]bool{}}
+	l := NewConns(listener, 100)
 	t.Cleanup(func() { l.Close() })
 	client, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
--- a/internal/lab/expfile/read.go
+++ b/internal/hclbody/hclbody.go
@@ -1,4 +1,6 @@
-package expfile
+// Package hclbody reads the bodies of HCL files into values, with units where they are wanted, and collects all that is
+// wrong: one line for each fault, with file, line, column and reason.
+package hclbody
 
 import (
 	"fmt"
@@ -13,26 +15,28 @@
 	"github.com/zclconf/go-cty/cty/convert"
 )
 
-// reader reads bodies into values and collects what is wrong with them.
-type reader struct {
-	vars  *hcl.EvalContext
-	diags hcl.Diagnostics
+// Reader reads bodies into values and collects what is wrong with them.
+type Reader struct {
+	Vars   *hcl.EvalContext
+	Diags  hcl.Diagnostics
+	Places map[any]hcl.Range // where the value behind each pointer stands in the file
 }
 
-// fields maps the attributes of a body to where their values go. A name that ends in ! must be there.
-type fields map[string]any
+// Fields maps the attributes of a body to where their values go. A name that ends in ! must be there.
+type Fields map[string]any
 
-// blocks maps the types of a body's blocks to what reads them. "kind name" takes a label.
-type blocks map[string]func(b *hcl.Block)
+// Blocks maps the types of a body's blocks to what reads them. "kind name" takes a label.
+type Blocks map[string]func(b *hcl.Block)
 
-func (r *reader) fault(at hcl.Range, format string, args ...any) {
-	r.diags = append(r.diags, &hcl.Diagnostic{Severity: hcl.DiagError, Summary: fmt.Sprintf(format, args...), Subject: &at})
+// Fault adds one.
+func (r *Reader) Fault(at hcl.Range, format string, args ...any) {
+	r.Diags = append(r.Diags, &hcl.Diagnostic{Severity: hcl.DiagError, Summary: fmt.Sprintf(format, args...), Subject: &at})
 }
 
-// body reads a body. What it does not know is a fault of the file. It tells whether all was well: what does not add up
+// Body reads a body. What it does not know is a fault of the file. It tells whether all was well: what does not add up
 // after a fault is mostly the fault's echo.
-func (r *reader) body(body hcl.Body, f fields, b blocks) bool {
-	before := len(r.diags)
+func (r *Reader) Body(body hcl.Body, f Fields, b Blocks) bool {
+	before := len(r.Diags)
 	var schema hcl.BodySchema
 	for name := range f {
 		name, required := strings.CutSuffix(name, "!")
@@ -47,7 +51,7 @@
 		schema.Blocks = append(schema.Blocks, block)
 	}
 	content, diags := body.Content(&schema)
-	r.diags = append(r.diags, diags...)
+	r.Diags = append(r.Diags, diags...)
 	if content == nil {
 		return false
 	}
@@ -58,6 +62,10 @@
 	slices.Sort(names) // faults are told in the same order each time
 	for _, name := range names {
 		if a := content.Attributes[strings.TrimSuffix(name, "!")]; a != nil {
+			if r.Places == nil {
+				r.Places = map[any]hcl.Range{}
+			}
+			r.Places[f[name]] = a.Range
 			r.value(a, f[name])
 		}
 	}
@@ -68,19 +76,19 @@
 			}
 		}
 	}
-	return len(r.diags) == before
+	return len(r.Diags) == before
 }
 
-// rate is a number of times a second, written with its unit: "50/s" or "3000/min".
-type rate float64
+// Rate is a number of times a second, written with its unit: "50/s" or "3000/min".
+type Rate float64
 
-// share is a number from 0 to 1.
-type share float64
+// Share is a number from 0 to 1.
+type Share float64
 
 // value reads one attribute into a pointer.
-func (r *reader) value(a *hcl.Attribute, to any) {
-	v, diags := a.Expr.Value(r.vars)
-	r.diags = append(r.diags, diags...)
+func (r *Reader) value(a *hcl.Attribute, to any) {
+	v, diags := a.Expr.Value(r.Vars)
+	r.Diags = append(r.Diags, diags...)
 	if diags.HasErrors() || v.IsNull() || !v.IsWhollyKnown() {
 		return
 	}
@@ -88,7 +96,7 @@
 	switch to := to.(type) {
 	case *time.Duration:
 		r.duration(a.Name, at, v, to)
-	case *rate:
+	case *Rate:
 		text, ok := r.text(a.Name, at, v, `a rate with its unit, such as "50/s"`)
 		if !ok {
 			return
@@ -97,23 +105,23 @@
 		per := map[string]float64{"s": 1, "min": 60, "h": 3600}[unit]
 		x, err := strconv.ParseFloat(strings.TrimSpace(n), 64)
 		if err != nil || per == 0 || x < 0 {
-			r.fault(at, `%s: %q is no rate; write such as "50/s" or "3000/min"`, a.Name, text)
+			r.Fault(at, `%s: %q is no rate; write such as "50/s" or "3000/min"`, a.Name, text)
 			return
 		}
-		*to = rate(x / per)
-	case *share:
+		*to = Rate(x / per)
+	case *Share:
 		x, ok := r.number(a.Name, at, v)
 		if ok && (x < 0 || x > 1) {
-			r.fault(at, "%s: %g is no share: it is not from 0 to 1", a.Name, x)
+			r.Fault(at, "%s: %g is no share: it is not from 0 to 1", a.Name, x)
 			ok = false
 		}
 		if ok {
-			*to = share(x)
+			*to = Share(x)
 		}
 	case *float64:
 		if x, ok := r.number(a.Name, at, v); ok {
 			if x < 0 {
-				r.fault(at, "%s: %g is below 0", a.Name, x)
+				r.Fault(at, "%s: %g is below 0", a.Name, x)
 				return
 			}
 			*to = x
@@ -121,7 +129,7 @@
 	case *int:
 		if x, ok := r.number(a.Name, at, v); ok {
 			if x != float64(int(x)) || x < 0 {
-				r.fault(at, "%s: %g is no whole number from 0 up", a.Name, x)
+				r.Fault(at, "%s: %g is no whole number from 0 up", a.Name, x)
 				return
 			}
 			*to = int(x)
@@ -130,7 +138,7 @@
 		if b, err := convert.Convert(v, cty.Bool); err == nil {
 			*to = b.True()
 		} else {
-			r.fault(at, "%s: true or false is wanted", a.Name)
+			r.Fault(at, "%s: true or false is wanted", a.Name)
 		}
 	case *string:
 		if text, ok := r.text(a.Name, at, v, "a text in quotes"); ok {
@@ -153,17 +161,17 @@
 			if s, err := convert.Convert(v, cty.String); err == nil {
 				*to = append(*to, s.AsString())
 			} else {
-				r.fault(at, "%s: plain values are wanted", a.Name)
+				r.Fault(at, "%s: plain values are wanted", a.Name)
 			}
 		})
 	default:
-		panic(fmt.Sprintf("expfile: no way to read a %T", to))
+		panic(fmt.Sprintf("hclbody: no way to read a %T", to))
 	}
 }
 
-func (r *reader) each(name string, at hcl.Range, v cty.Value, f func(cty.Value)) {
+func (r *Reader) each(name string, at hcl.Range, v cty.Value, f func(cty.Value)) {
 	if !v.CanIterateElements() || v.Type().IsMapType() || v.Type().IsObjectType() {
-		r.fault(at, "%s: a list in brackets is wanted", name)
+		r.Fault(at, "%s: a list in brackets is wanted", name)
 		return
 	}
 	for it := v.ElementIterator(); it.Next(); {
@@ -172,46 +180,47 @@
 	}
 }
 
-func (r *reader) text(name string, at hcl.Range, v cty.Value, want string) (string, bool) {
+func (r *Reader) text(name string, at hcl.Range, v cty.Value, want string) (string, bool) {
 	if v.Type() != cty.String {
-		r.fault(at, "%s: %s is wanted", name, want)
+		r.Fault(at, "%s: %s is wanted", name, want)
 		return "", false
 	}
 	return v.AsString(), true
 }
 
 // number takes numbers, and texts that are numbers: variables set on the command line are texts.
-func (r *reader) number(name string, at hcl.Range, v cty.Value) (float64, bool) {
+func (r *Reader) number(name string, at hcl.Range, v cty.Value) (float64, bool) {
 	n, err := convert.Convert(v, cty.Number)
 	if err != nil {
-		r.fault(at, "%s: a number is wanted", name)
+		r.Fault(at, "%s: a number is wanted", name)
 		return 0, false
 	}
 	x, _ := n.AsBigFloat().Float64()
 	return x, true
 }
 
-func (r *reader) duration(name string, at hcl.Range, v cty.Value, to *time.Duration) {
+func (r *Reader) duration(name string, at hcl.Range, v cty.Value, to *time.Duration) {
 	text, ok := r.text(name, at, v, `a time with its unit, such as "250ms"`)
 	if !ok {
 		return
 	}
 	d, err := time.ParseDuration(text)
 	if err != nil || d < 0 {
-		r.fault(at, `%s: %q is no time; write such as "250ms" or "2.5s"`, name, text)
+		r.Fault(at, `%s: %q is no time; write such as "250ms" or "2.5s"`, name, text)
 		return
 	}
 	*to = d
 }
 
-// oneOf reads a block's attribute that must be one of some words.
-func oneOf[T ~string](r *reader, at hcl.Range, name string, value T, words ...T) {
+// OneOf reads a block's attribute that must be one of some words.
+func OneOf[T ~string](r *Reader, at hcl.Range, name string, value T, words ...T) {
 	if !slices.Contains(words, value) {
-		r.fault(at, "%s: %q is none of %s", name, string(value), join(words))
+		r.Fault(at, "%s: %q is none of %s", name, string(value), Join(words))
 	}
 }
 
-func join[T ~string](words []T) string {
+// Join lists words.
+func Join[T ~string](words []T) string {
 	var out []string
 	for _, w := range words {
 		out = append(out, string(w))
@@ -219,13 +228,13 @@
 	return strings.Join(out, ", ")
 }
 
-// where words a range as file:line:column.
-func where(at hcl.Range) string {
+// Where words a range as file:line:column.
+func Where(at hcl.Range) string {
 	return fmt.Sprintf("%s:%d:%d", at.Filename, at.Start.Line, at.Start.Column)
 }
 
-// faults turns diagnostics into one error of a line each, in the file's order.
-func faults(diags hcl.Diagnostics) error {
+// Faults turns diagnostics into one error of a line each, in the file's order.
+func Faults(diags hcl.Diagnostics) error {
 	var errs []*hcl.Diagnostic
 	for _, d := range diags {
 		if d.Severity == hcl.DiagError {
@@ -248,7 +257,7 @@
 			line += ": " + strings.ReplaceAll(d.Detail, "\n", " ")
 		}
 		if d.Subject != nil {
-			line = where(*d.Subject) + ": " + line
+			line = Where(*d.Subject) + ": " + line
 		}
 		if !slices.Contains(lines, line) {
 			lines = append(lines, line)
@@ -257,9 +266,10 @@
 	return fmt.Errorf("%s", strings.Join(lines, "\n"))
 }
 
-func parse(text []byte, name string) (hcl.Body, error) {
+// Parse reads the text of a file that is called name in messages.
+func Parse(text []byte, name string) (hcl.Body, error) {
 	file, diags := hclsyntax.ParseConfig(text, name, hcl.InitialPos)
-	if err := faults(diags[:min(len(diags), 1)]); err != nil { // what follows a slip of syntax is mostly its echo
+	if err := Faults(diags[:min(len(diags), 1)]); err != nil { // what follows a slip of syntax is mostly its echo
 		return nil, err
 	}
 	return file.Body, nil
--- a/internal/lab/expfile/expfile.go
+++ b/internal/lab/expfile/expfile.go
@@ -16,10 +16,14 @@
 	"github.com/zclconf/go-cty/cty"
 
 	"tuliprock"
+	"tuliprock/internal/hclbody"
 	"tuliprock/internal/lab"
 	"tuliprock/internal/lab/rival"
 )
 
+// reader reads the blocks of an experiment.
+type reader struct{ hclbody.Reader }
+
 // Play is one of the experiments that a file comes to: a sweep makes several, other files one.
 type Play struct {
 	lab.Experiment
@@ -37,7 +41,7 @@
 
 // Parse reads the text of a file that is called name in messages.
 func Parse(text []byte, name string, set map[string]string) ([]Play, error) {
-	body, err := parse(text, name)
+	body, err := hclbody.Parse(text, name)
 	if err != nil {
 		return nil, err
 	}
@@ -47,28 +51,28 @@
 	sweepName, sweepAt := "", hcl.Range{}
 	var sweep []string
 	early, _, diags := body.PartialContent(&hcl.BodySchema{Blocks: []hcl.BlockHeaderSchema{{Type: "vars"}, {Type: "sweep", LabelNames: []string{"variable"}}}})
-	r.diags = append(r.diags, diags...)
+	r.Diags = append(r.Diags, diags...)
 	for _, b := range early.Blocks {
 		switch b.Type {
 		case "vars":
 			attrs, diags := b.Body.JustAttributes()
-			r.diags = append(r.diags, diags...)
+			r.Diags = append(r.Diags, diags...)
 			for _, a := range attrs {
 				v, diags := a.Expr.Value(nil)
-				r.diags = append(r.diags, diags...)
+				r.Diags = append(r.Diags, diags...)
 				vars[a.Name] = v
 			}
 		case "sweep":
 			if sweepName != "" {
-				r.fault(b.DefRange, "sweep: one is enough: %s is swept already", sweepName)
+				r.Fault(b.DefRange, "sweep: one is enough: %s is swept already", sweepName)
 				continue
 			}
 			sweepName, sweepAt = b.Labels[0], b.DefRange
-			r.body(b.Body, fields{"values!": &sweep}, nil)
+			r.Body(b.Body, hclbody.Fields{"values!": &sweep}, nil)
 		}
 	}
 	if _, ok := vars[sweepName]; sweepName != "" && !ok {
-		r.fault(sweepAt, "sweep: there is no variable %q in vars", sweepName)
+		r.Fault(sweepAt, "sweep: there is no variable %q in vars", sweepName)
 	}
 	for _, k := range slices.Sorted(maps.Keys(set)) {
 		if _, ok := vars[k]; !ok {
@@ -77,7 +81,7 @@
 		}
 		vars[k] = cty.StringVal(set[k])
 	}
-	if err := faults(r.diags); err != nil {
+	if err := hclbody.Faults(r.Diags); err != nil {
 		return nil, err
 	}
 	if _, fixed := set[sweepName]; sweepName == "" || fixed {
@@ -121,7 +125,7 @@
 			}
 		}
 	}
-	r := &reader{vars: &hcl.EvalContext{Variables: map[string]cty.Value{"var": object}}}
+	r := &reader{Reader: hclbody.Reader{Vars: &hcl.EvalContext{Variables: map[string]cty.Value{"var": object}}}}
 	p := Play{Experiment: lab.Experiment{Name: strings.TrimSuffix(name, ".hcl"), Settings: settings, Seeds: []uint64{1}}}
 	e := &p.Experiment
 	e.Site = lab.Site{Balancers: 1, Delay: 200 * time.Microsecond, Jitter: 0.2, Attempts: 5,
@@ -135,7 +139,7 @@
 	once := func(read func(*hcl.Block)) func(*hcl.Block) {
 		return func(b *hcl.Block) {
 			if first, ok := seen[b.Type]; ok {
-				r.fault(b.DefRange, "%s: there is one already, at %s", b.Type, where(first))
+				r.Fault(b.DefRange, "%s: there is one already, at %s", b.Type, hclbody.Where(first))
 				return
 			}
 			seen[b.Type] = b.DefRange
@@ -143,17 +147,17 @@
 		}
 	}
 	var expects []expectation
-	read := r.body(body, nil, blocks{
+	read := r.Body(body, nil, hclbody.Blocks{
 		"vars": ignore, "sweep variable": ignore,
 		"experiment name": once(func(b *hcl.Block) {
 			e.Name = b.Labels[0]
 			var seeds []uint64
-			ok := r.body(b.Body, fields{"question!": &e.Question, "duration!": &e.Duration, "warmup": &e.Warmup, "seeds": &seeds, "virtual": &e.Virtual}, nil)
+			ok := r.Body(b.Body, hclbody.Fields{"question!": &e.Question, "duration!": &e.Duration, "warmup": &e.Warmup, "seeds": &seeds, "virtual": &e.Virtual}, nil)
 			if len(seeds) > 0 {
 				e.Seeds = seeds
 			}
 			if ok && (e.Duration <= 0 || e.Warmup >= e.Duration) {
-				r.fault(b.DefRange, "experiment: the duration must be longer than the warmup")
+				r.Fault(b.DefRange, "experiment: the duration must be longer than the warmup")
 			}
 		}),
 		"site":       once(func(b *hcl.Block) { r.site(b, &e.Site) }),
@@ -161,26 +165,26 @@
 		"fault kind": func(b *hcl.Block) { r.failure(b, e) },
 		"arm name": func(b *hcl.Block) {
 			a := lab.Arm{Name: b.Labels[0], Policy: "tuliprock"}
-			r.body(b.Body, fields{"policy": &a.Policy, "run": &a.Run}, nil)
-			oneOf(r, b.DefRange, "policy", a.Policy, append([]string{"tuliprock", "reverse_proxy"}, rival.Names...)...)
+			r.Body(b.Body, hclbody.Fields{"policy": &a.Policy, "run": &a.Run}, nil)
+			hclbody.OneOf(&r.Reader, b.DefRange, "policy", a.Policy, append([]string{"tuliprock", "reverse_proxy"}, rival.Names...)...)
 			if slices.ContainsFunc(e.Arms, func(o lab.Arm) bool { return o.Name == a.Name }) {
-				r.fault(b.DefRange, "arm: there are two called %q", a.Name)
+				r.Fault(b.DefRange, "arm: there are two called %q", a.Name)
 			}
 			e.Arms = append(e.Arms, a)
 		},
 		"expect": func(b *hcl.Block) {
 			x := expectation{at: b.DefRange}
-			var served, failed share
-			r.body(b.Body, fields{"arm": &x.Arm, "rules_kept": &x.RulesKept, "served_in_time_over": &served,
+			var served, failed hclbody.Share
+			r.Body(b.Body, hclbody.Fields{"arm": &x.Arm, "rules_kept": &x.RulesKept, "served_in_time_over": &served,
 				"refused_or_failed_under": &failed, "attempts_under": &x.AttemptsUnder, "p99_under": &x.P99Under}, nil)
-			x.ServedOver, x.FailedUnder, x.Place = float64(served), float64(failed), where(b.DefRange)
+			x.ServedOver, x.FailedUnder, x.Place = float64(served), float64(failed), hclbody.Where(b.DefRange)
 			expects = append(expects, x)
 		},
 	})
 	start := hcl.Range{Filename: name, Start: hcl.InitialPos, End: hcl.InitialPos}
 	for _, needed := range []string{"experiment", "site", "load"} {
 		if _, ok := seen[needed]; !ok && read {
-			r.fault(start, "the file has no block %q", needed)
+			r.Fault(start, "the file has no block %q", needed)
 		}
 	}
 	if len(e.Arms) == 0 {
@@ -188,19 +192,19 @@
 	}
 	for _, x := range expects {
 		if x.Arm != "" && !slices.ContainsFunc(e.Arms, func(a lab.Arm) bool { return a.Name == x.Arm }) {
-			r.fault(x.at, "expect: there is no arm %q", x.Arm)
+			r.Fault(x.at, "expect: there is no arm %q", x.Arm)
 		}
 		if (x.Expectation == lab.Expectation{Arm: x.Arm, Place: x.Place}) {
-			r.fault(x.at, "expect: it asks for nothing")
+			r.Fault(x.at, "expect: it asks for nothing")
 		}
 		e.Expect = append(e.Expect, x.Expectation)
 	}
 	for _, f := range e.Faults {
 		if has, known := lab.FaultKinds[f.Kind]; e.Virtual && known && !has {
-			r.fault(seen["experiment"], "experiment: the fault %s needs sockets, and this says virtual", f.Kind)
+			r.Fault(seen["experiment"], "experiment: the fault %s needs sockets, and this says virtual", f.Kind)
 		}
 	}
-	return p, faults(r.diags)
+	return p, hclbody.Faults(r.Diags)
 }
 
 type expectation struct {
@@ -214,136 +218,136 @@
 	once := func(at *hcl.Range, read func(*hcl.Block)) func(*hcl.Block) {
 		return func(b *hcl.Block) {
 			if !at.Empty() {
-				r.fault(b.DefRange, "%s: there is one already, at %s", b.Type, where(*at))
+				r.Fault(b.DefRange, "%s: there is one already, at %s", b.Type, hclbody.Where(*at))
 				return
 			}
 			*at = b.DefRange
 			read(b)
 		}
 	}
-	r.body(b.Body, fields{"balancers": &s.Balancers, "attempts": &s.Attempts}, blocks{
+	r.Body(b.Body, hclbody.Fields{"balancers": &s.Balancers, "attempts": &s.Attempts}, hclbody.Blocks{
 		"network": once(&network, func(b *hcl.Block) {
-			var jitter share
-			r.body(b.Body, fields{"delay": &s.Delay, "jitter": &jitter}, nil)
+			var jitter hclbody.Share
+			r.Body(b.Body, hclbody.Fields{"delay": &s.Delay, "jitter": &jitter}, nil)
 			s.Jitter = float64(jitter)
 		}),
 		"roster": once(&roster, func(b *hcl.Block) {
-			r.body(b.Body, fields{"delay": &s.Roster.Delay, "spread": &s.Roster.Spread}, nil)
+			r.Body(b.Body, hclbody.Fields{"delay": &s.Roster.Delay, "spread": &s.Roster.Spread}, nil)
 		}),
 		"rules": once(&ledger, func(b *hcl.Block) {
-			r.body(b.Body, fields{"answer_slack": &rules.AnswerSlack, "drain_grace": &rules.DrainGrace, "fall_over": &rules.FallOver,
+			r.Body(b.Body, hclbody.Fields{"answer_slack": &rules.AnswerSlack, "drain_grace": &rules.DrainGrace, "fall_over": &rules.FallOver,
 				"fall_window": &rules.FallWindow, "improper_for": &rules.ImproperFor}, nil)
 		}),
 		"limits": once(&limits, func(b *hcl.Block) {
-			r.body(b.Body, fields{"memory_mb": &s.Limits.MemoryMB, "descriptors": &s.Limits.Descriptors, "cores": &s.Limits.Cores}, nil)
+			r.Body(b.Body, hclbody.Fields{"memory_mb": &s.Limits.MemoryMB, "descriptors": &s.Limits.Descriptors, "cores": &s.Limits.Cores}, nil)
 		}),
 		"class name": func(b *hcl.Block) {
 			c := lab.Class{Name: b.Labels[0], Share: 1, Worth: 1, Spread: lab.Exponential, Cv: 1}
 			effect := "safe"
 			spread := string(c.Spread)
-			r.body(b.Body, fields{"effect": &effect, "share": &c.Share, "work!": &c.Work, "wait": &c.Wait, "spread": &spread, "cv": &c.Cv,
+			r.Body(b.Body, hclbody.Fields{"effect": &effect, "share": &c.Share, "work!": &c.Work, "wait": &c.Wait, "spread": &spread, "cv": &c.Cv,
 				"aim!": &c.Aim, "deadline!": &c.Deadline, "worth": &c.Worth}, nil)
-			oneOf(r, b.DefRange, "effect", effect, "safe", "unsafe")
-			oneOf(r, b.DefRange, "spread", spread, string(lab.Exponential), string(lab.LogNormal), string(lab.Fixed))
+			hclbody.OneOf(&r.Reader, b.DefRange, "effect", effect, "safe", "unsafe")
+			hclbody.OneOf(&r.Reader, b.DefRange, "spread", spread, string(lab.Exponential), string(lab.LogNormal), string(lab.Fixed))
 			if effect == "unsafe" {
 				c.Effect = tuliprock.Unsafe
 			}
 			c.Spread = lab.Spread(spread)
 			if c.Aim > c.Deadline {
-				r.fault(b.DefRange, "class %s: the aim of %v is later than the deadline of %v", c.Name, c.Aim, c.Deadline)
+				r.Fault(b.DefRange, "class %s: the aim of %v is later than the deadline of %v", c.Name, c.Aim, c.Deadline)
 			}
 			s.Classes = append(s.Classes, c)
 		},
 		"tenant name": func(b *hcl.Block) {
 			t := lab.Tenant{Name: b.Labels[0], Share: 1}
-			var quota rate
-			r.body(b.Body, fields{"share": &t.Share, "quota": &quota}, nil)
+			var quota hclbody.Rate
+			r.Body(b.Body, hclbody.Fields{"share": &t.Share, "quota": &quota}, nil)
 			t.Quota = float64(quota)
 			s.Tenants = append(s.Tenants, t)
 		},
 		"tier name": func(b *hcl.Block) { r.tier(b, s) },
 	})
 	if len(s.Classes) == 0 || len(s.Tiers) == 0 {
-		r.fault(b.DefRange, "site: at least one class and one tier are wanted")
+		r.Fault(b.DefRange, "site: at least one class and one tier are wanted")
 		return
 	}
 	if s.Balancers < 1 {
-		r.fault(b.DefRange, "site: at least one balancer is wanted")
+		r.Fault(b.DefRange, "site: at least one balancer is wanted")
 	}
 	if last := s.Tiers[len(s.Tiers)-1]; last.Calls > 0 {
-		r.fault(b.DefRange, "tier %s: it is the last and has nobody to call", last.Name)
+		r.Fault(b.DefRange, "tier %s: it is the last and has nobody to call", last.Name)
 	}
 }
 
 func (r *reader) tier(b *hcl.Block, s *lab.Site) {
 	t := lab.Tier{Name: b.Labels[0], Work: 1}
 	x := &t.Box
-	var noise, errors share
-	ok := r.body(b.Body, fields{"boxes!": &t.Boxes, "work": &t.Work, "calls": &t.Calls, "errors": &errors, "cancel_stops": &x.CancelsStops}, blocks{
+	var noise, errors hclbody.Share
+	ok := r.Body(b.Body, hclbody.Fields{"boxes!": &t.Boxes, "work": &t.Work, "calls": &t.Calls, "errors": &errors, "cancel_stops": &x.CancelsStops}, hclbody.Blocks{
 		"kind name": func(b *hcl.Block) {
 			k := lab.Kind{Name: b.Labels[0], Share: 1, Cores: 1, Speed: 1, Slots: 16, Queue: 200}
-			r.body(b.Body, fields{"share": &k.Share, "cores": &k.Cores, "speed": &k.Speed, "slots": &k.Slots, "queue": &k.Queue}, nil)
+			r.Body(b.Body, hclbody.Fields{"share": &k.Share, "cores": &k.Cores, "speed": &k.Speed, "slots": &k.Slots, "queue": &k.Queue}, nil)
 			if k.Cores < 1 || k.Slots < 1 || k.Speed <= 0 {
-				r.fault(b.DefRange, "kind %s: cores, slots and speed must be above 0", k.Name)
+				r.Fault(b.DefRange, "kind %s: cores, slots and speed must be above 0", k.Name)
 			}
 			t.Kinds = append(t.Kinds, k)
 		},
 		"cold": func(b *hcl.Block) {
-			var from share
-			r.body(b.Body, fields{"from!": &from, "for!": &x.ColdFor}, nil)
+			var from hclbody.Share
+			r.Body(b.Body, hclbody.Fields{"from!": &from, "for!": &x.ColdFor}, nil)
 			x.ColdFrom = float64(from)
 		},
 		"choke": func(b *hcl.Block) {
-			r.body(b.Body, fields{"at!": &x.ChokeAt, "over!": &x.ChokeOver, "slower!": &x.ChokeSlower, "below!": &x.ChokeBelow,
+			r.Body(b.Body, hclbody.Fields{"at!": &x.ChokeAt, "over!": &x.ChokeOver, "slower!": &x.ChokeSlower, "below!": &x.ChokeBelow,
 				"rest!": &x.ChokeRest, "most": &x.ChokeMost}, nil)
 			if x.ChokeSlower < 1 {
-				r.fault(b.DefRange, "choke: slower is %g; a choked box is slower, not faster", x.ChokeSlower)
+				r.Fault(b.DefRange, "choke: slower is %g; a choked box is slower, not faster", x.ChokeSlower)
 			}
 		},
 		"connections": func(b *hcl.Block) {
-			r.body(b.Body, fields{"work": &x.ConnWork, "limit": &x.ConnLimit, "idle": &x.ConnIdle}, nil)
+			r.Body(b.Body, hclbody.Fields{"work": &x.ConnWork, "limit": &x.ConnLimit, "idle": &x.ConnIdle}, nil)
 		},
 		"report": func(b *hcl.Block) {
-			r.body(b.Body, fields{"every!": &x.ReportEvery, "delay": &x.ReportDelay, "noise": &noise}, nil)
+			r.Body(b.Body, hclbody.Fields{"every!": &x.ReportEvery, "delay": &x.ReportDelay, "noise": &noise}, nil)
 		},
 	})
 	x.ReportNoise, x.ErrorShare = float64(noise), float64(errors)
 	if ok && t.Boxes < 1 {
-		r.fault(b.DefRange, "tier %s: at least one box is wanted", t.Name)
+		r.Fault(b.DefRange, "tier %s: at least one box is wanted", t.Name)
 	}
 	t.Boxes = max(t.Boxes, 1)
 	if len(t.Kinds) == 0 {
 		t.Kinds = []lab.Kind{{Name: "box", Share: 1, Cores: 1, Speed: 1, Slots: 16, Queue: 200}}
 	}
 	if s.Tier(t.Name) >= 0 {
-		r.fault(b.DefRange, "tier: there are two called %q", t.Name)
+		r.Fault(b.DefRange, "tier: there are two called %q", t.Name)
 	}
 	s.Tiers = append(s.Tiers, t)
 }
 
 func (r *reader) load(b *hcl.Block, l *lab.Load) {
-	var per rate
-	patience := share(1)
-	var leave share
-	ok := r.body(b.Body, fields{"rate": &per, "process": &l.Process, "recorded": &l.Recorded}, blocks{
+	var per hclbody.Rate
+	patience := hclbody.Share(1)
+	var leave hclbody.Share
+	ok := r.Body(b.Body, hclbody.Fields{"rate": &per, "process": &l.Process, "recorded": &l.Recorded}, hclbody.Blocks{
 		"step": func(b *hcl.Block) {
 			s := lab.Step{Factor: 1}
-			r.body(b.Body, fields{"at!": &s.At, "factor!": &s.Factor}, nil)
+			r.Body(b.Body, hclbody.Fields{"at!": &s.At, "factor!": &s.Factor}, nil)
 			l.Steps = append(l.Steps, s)
 		},
 		"clients": func(b *hcl.Block) {
 			c := &l.Clients
-			r.body(b.Body, fields{"patience_least": &patience, "retries": &c.Retries, "retry_wait": &c.RetryWait, "heed": &c.Heed, "leave": &leave}, nil)
+			r.Body(b.Body, hclbody.Fields{"patience_least": &patience, "retries": &c.Retries, "retry_wait": &c.RetryWait, "heed": &c.Heed, "leave": &leave}, nil)
 		},
 	})
 	l.Rate, l.Clients.PatienceLeast, l.Clients.Leave = float64(per), float64(patience), float64(leave)
-	oneOf(r, b.DefRange, "process", l.Process, "poisson", "steady", "recorded")
+	hclbody.OneOf(&r.Reader, b.DefRange, "process", l.Process, "poisson", "steady", "recorded")
 	switch {
 	case !ok:
 	case l.Process == "recorded" && len(l.Recorded) == 0:
-		r.fault(b.DefRange, "load: a recorded process wants a list in recorded")
+		r.Fault(b.DefRange, "load: a recorded process wants a list in recorded")
 	case l.Process != "recorded" && l.Rate <= 0:
-		r.fault(b.DefRange, "load: a rate above 0 is wanted")
+		r.Fault(b.DefRange, "load: a rate above 0 is wanted")
 	}
 }
 
@@ -351,22 +355,22 @@
 	f := lab.Fault{Kind: lab.FaultKind(b.Labels[0]), Part: 1, Size: 1, Count: 1, Period: time.Second}
 	at := b.LabelRanges[0]
 	if _, ok := lab.FaultKinds[f.Kind]; !ok {
-		r.fault(at, "fault: %q is none of %s", string(f.Kind), join(slices.Sorted(maps.Keys(lab.FaultKinds))))
+		r.Fault(at, "fault: %q is none of %s", string(f.Kind), hclbody.Join(slices.Sorted(maps.Keys(lab.FaultKinds))))
 	}
-	var part = share(1)
-	r.body(b.Body, fields{"at!": &f.At, "for": &f.For, "tier": &f.Tier, "part": &part, "size": &f.Size, "period": &f.Period, "count": &f.Count}, nil)
+	var part = hclbody.Share(1)
+	r.Body(b.Body, hclbody.Fields{"at!": &f.At, "for": &f.For, "tier": &f.Tier, "part": &part, "size": &f.Size, "period": &f.Period, "count": &f.Count}, nil)
 	f.Part = float64(part)
 	if f.Tier != "" && e.Site.Tier(f.Tier) < 0 {
-		r.fault(b.DefRange, "fault: there is no tier %q above it in the file", f.Tier)
+		r.Fault(b.DefRange, "fault: there is no tier %q above it in the file", f.Tier)
 	}
 	switch f.Kind {
 	case lab.FastErrors, lab.BreakBefore, lab.BreakAfter, lab.BreakAnswer, lab.GarbleAnswer, lab.Neighbour, lab.Deploy:
 		if f.Size > 1 || math.IsNaN(f.Size) {
-			r.fault(b.DefRange, "fault: the size of %s is a share: %g is not from 0 to 1", f.Kind, f.Size)
+			r.Fault(b.DefRange, "fault: the size of %s is a share: %g is not from 0 to 1", f.Kind, f.Size)
 		}
 	case lab.SharedSlow:
 		if f.Size < 1 {
-			r.fault(b.DefRange, "fault: the size of %s is how many times slower: %g is under 1", f.Kind, f.Size)
+			r.Fault(b.DefRange, "fault: the size of %s is how many times slower: %g is under 1", f.Kind, f.Size)
 		}
 	}
 	e.Faults = append(e.Faults, f)
--- a/internal/sidecar/discovery.go
+++ b/internal/roster/platform/platform.go
@@ -1,4 +1,5 @@
-package sidecar
+// Package platform is the roster that the platform keeps: a list of endpoints over HTTP, and a watch for its changes.
+package platform
 
 import (
 	"bufio"
@@ -17,6 +18,7 @@
 
 	"tuliprock"
 	"tuliprock/internal/engine"
+	"tuliprock/internal/netaddr"
 )
 
 const (
@@ -47,8 +49,8 @@
 	Servers []Member `json:"servers"`
 }
 
-// members is the message as an engine hears it.
-func (m Members) members() engine.Members {
+// Engine is the message as an engine hears it.
+func (m Members) Engine() engine.Members {
 	out := engine.Members{Complete: m.Full}
 	for _, s := range m.Servers {
 		out.Members = append(out.Members, engine.Member{ID: s.ID, Addr: s.Addr, Zone: s.Zone, Kind: s.Kind, Cell: s.Cell,
@@ -59,8 +61,8 @@
 
 var stateNames = map[string]tuliprock.State{"Ready": tuliprock.Ready, "Terminating": tuliprock.Draining, "Gone": tuliprock.Gone}
 
-// parseMembers reads and checks a message from discovery. One bad entry spoils the message.
-func parseMembers(text []byte) (Members, error) {
+// Parse reads and checks a message from discovery. One bad entry spoils the message.
+func Parse(text []byte) (Members, error) {
 	var m Members
 	if err := json.Unmarshal(text, &m); err != nil {
 		return Members{}, err
@@ -83,15 +85,15 @@
 		if s.State == tuliprock.Gone {
 			continue
 		}
-		if err := checkAddress("addr", s.Addr); err != nil {
+		if err := netaddr.Check("addr", s.Addr); err != nil {
 			return Members{}, err
 		}
 	}
 	return m, nil
 }
 
-// discovery follows the list of endpoints.
-type discovery struct {
+// Discovery follows the list of endpoints.
+type Discovery struct {
 	mu    sync.Mutex
 	addr  string             // guarded by mu, as are the next two
 	moved bool               // since the latest watch began
@@ -108,16 +110,32 @@
 	spokeAt time.Time
 }
 
-// subscribe asks for a watch. It does not block.
-func (d *discovery) subscribe() {
+// Options say what to follow, and who hears of it.
+type Options struct {
+	Addr    string        // host:port
+	OnAsk   bool          // only a Subscribe starts a watch, and its end is reported to Failed
+	Version *int64        // of the list that is known already; nil: the whole list is wanted
+	Deliver func(Members) // takes each message
+	Failed  func()        // hears that a watch has ended
+	Log     *slog.Logger
+}
+
+// New returns a follower. Run does the work.
+func New(o Options) *Discovery {
+	return &Discovery{addr: o.Addr, onAsk: o.OnAsk, version: o.Version, deliver: o.Deliver, failed: o.Failed, log: o.Log,
+		asked: make(chan struct{}, 1), silence: watchSilence, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// Subscribe asks for a watch. It does not block.
+func (d *Discovery) Subscribe() {
 	select {
 	case d.asked <- struct{}{}:
 	default:
 	}
 }
 
-// move turns to another address: the watch at the old one ends, and the list is had anew.
-func (d *discovery) move(addr string) {
+// Move turns to another address: the watch at the old one ends, and the list is had anew.
+func (d *Discovery) Move(addr string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if addr == d.addr {
@@ -130,7 +148,7 @@
 }
 
 // begin gives the context of a new watch and the address to keep it at.
-func (d *discovery) begin(ctx context.Context) (context.Context, context.CancelFunc, string) {
+func (d *Discovery) begin(ctx context.Context) (context.Context, context.CancelFunc, string) {
 	ctx, cancel := context.WithCancel(ctx)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -141,9 +159,9 @@
 	return ctx, cancel, d.addr
 }
 
-// run keeps a watch until ctx ends. A watch that breaks leaves the old list standing; the next one asks for what
+// Run keeps a watch until ctx ends. A watch that breaks leaves the old list standing; the next one asks for what
 // has changed since.
-func (d *discovery) run(ctx context.Context) {
+func (d *Discovery) Run(ctx context.Context) {
 	gap := retryLeast
 	for ctx.Err() == nil {
 		if d.onAsk {
@@ -180,7 +198,7 @@
 }
 
 // complain logs, but not more often than of use.
-func (d *discovery) complain(err error) {
+func (d *Discovery) complain(err error) {
 	if time.Since(d.spokeAt) > complainGap {
 		d.spokeAt = time.Now()
 		d.log.Warn("discovery: watch ended", "err", err)
@@ -188,7 +206,7 @@
 }
 
 // follow keeps one watch, after a whole list if one is wanted, and tells whether it brought anything.
-func (d *discovery) follow(ctx context.Context) (heard bool, err error) {
+func (d *Discovery) follow(ctx context.Context) (heard bool, err error) {
 	ctx, cancel, addr := d.begin(ctx)
 	defer cancel()
 	watchdog := time.AfterFunc(d.silence, cancel)
@@ -225,7 +243,7 @@
 }
 
 // list gets the whole list once.
-func (d *discovery) list(ctx context.Context, addr string) error {
+func (d *Discovery) list(ctx context.Context, addr string) error {
 	body, err := d.get(ctx, addr, "")
 	if err != nil {
 		return err
@@ -238,7 +256,7 @@
 	return d.take(text)
 }
 
-func (d *discovery) get(ctx context.Context, addr, query string) (io.ReadCloser, error) {
+func (d *Discovery) get(ctx context.Context, addr, query string) (io.ReadCloser, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+membersPath+query, nil)
 	if err != nil {
 		return nil, err
@@ -256,8 +274,8 @@
 
 // take passes on one message. After one that can't be read, or changes to a list older than ours, something may
 // have been missed: the whole list is asked for anew.
-func (d *discovery) take(text []byte) error {
-	m, err := parseMembers(text)
+func (d *Discovery) take(text []byte) error {
+	m, err := Parse(text)
 	if err == nil && !m.Full && (d.version == nil || *m.Version < *d.version) {
 		err = fmt.Errorf("version: %d does not follow", *m.Version)
 	}
--- a/internal/sidecar/discovery_test.go
+++ b/internal/roster/platform/platform_test.go
@@ -1,70 +1,45 @@
-package sidecar
+package platform
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
 	"tuliprock"
+	"tuliprock/internal/testpeer"
 )
 
-func members(version int, full bool, entries ...string) string {
-	return fmt.Sprintf(`{"version":%d,"full":%v,"servers":[%s]}`, version, full, strings.Join(entries, ","))
-}
-
-func member(id, addr, state string) string {
-	return fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"z","kind":"k","cell":3,"state":%q,"weight":1.0,"started_ms":0}`, id, addr, state)
-}
-
-// script answers each call to discovery with its next step and reports the call.
-type script struct {
-	steps []string // lines; "SILENT" at the end holds the connection open
-	calls chan string
-}
+const patience = testpeer.Patience
 
-func (s *script) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.calls <- r.URL.RawQuery
-	if len(s.steps) == 0 {
-		<-r.Context().Done()
-		return
-	}
-	step := s.steps[0]
-	s.steps = s.steps[1:]
-	text, silent := strings.CutSuffix(step, "SILENT")
-	io.WriteString(w, text)
-	w.(http.Flusher).Flush()
-	if silent {
-		<-r.Context().Done()
-	}
-}
+var (
+	members = testpeer.Members
+	member  = testpeer.Member
+)
 
 type followed struct {
-	*discovery
+	*Discovery
 	got      chan Members
 	failures chan bool
 	calls    chan string
 }
 
-func follow(t *testing.T, version int64, change func(*discovery), steps ...string) *followed {
-	s := &script{steps: steps, calls: make(chan string, 100)}
+func follow(t *testing.T, version int64, change func(*Discovery), steps ...string) *followed {
+	s := &testpeer.Script{Steps: steps, Calls: make(chan string, 100)}
 	server := httptest.NewServer(s)
 	t.Cleanup(server.Close)
-	f := &followed{got: make(chan Members, 100), failures: make(chan bool, 100), calls: s.calls}
-	f.discovery = &discovery{addr: server.Listener.Addr().String(), asked: make(chan struct{}, 1), version: &version,
+	f := &followed{got: make(chan Members, 100), failures: make(chan bool, 100), calls: s.Calls}
+	f.Discovery = &Discovery{addr: server.Listener.Addr().String(), asked: make(chan struct{}, 1), version: &version,
 		deliver: func(m Members) { f.got <- m }, failed: func() { f.failures <- true }, silence: patience,
 		log: slog.New(slog.DiscardHandler), client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	if change != nil {
-		change(f.discovery)
+		change(f.Discovery)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 2*patience)
 	t.Cleanup(cancel)
-	go f.run(ctx)
+	go f.Run(ctx)
 	return f
 }
 
@@ -105,7 +80,7 @@
 }
 
 func TestASilentWatchIsGivenUp(t *testing.T) {
-	f := follow(t, 7, func(d *discovery) { d.silence = 200 * time.Millisecond },
+	f := follow(t, 7, func(d *Discovery) { d.silence = 200 * time.Millisecond },
 		"\nSILENT", members(8, false)+"\nSILENT")
 	f.expectCalls(t, "watch=1&after=7", "watch=1&after=7")
 	f.expectVersions(t, 8)
@@ -132,11 +107,11 @@
 }
 
 func TestWhereDiscoveryIsAskedItsEndIsReported(t *testing.T) {
-	f := follow(t, 41, func(d *discovery) { d.onAsk = true }, members(42, false)+"\n", members(43, false)+"\nSILENT")
-	f.subscribe()
+	f := follow(t, 41, func(d *Discovery) { d.onAsk = true }, members(42, false)+"\n", members(43, false)+"\nSILENT")
+	f.Subscribe()
 	f.expectVersions(t, 42)
 	<-f.failures
-	f.subscribe()
+	f.Subscribe()
 	f.expectVersions(t, 43)
 	f.expectCalls(t, "watch=1&after=41", "watch=1&after=42")
 }
@@ -145,18 +120,18 @@
 func TestAMoveHasTheListAnewAtTheNewAddress(t *testing.T) {
 	f := follow(t, 41, nil, members(42, false)+"\nSILENT")
 	f.expectVersions(t, 42)
-	next := &script{steps: []string{members(7, true), members(8, false) + "\nSILENT"}, calls: make(chan string, 100)}
+	next := &testpeer.Script{Steps: []string{members(7, true), members(8, false) + "\nSILENT"}, Calls: make(chan string, 100)}
 	server := httptest.NewServer(next)
 	t.Cleanup(server.Close)
 	t.Cleanup(server.CloseClientConnections) // the watch is still on
-	f.move(server.Listener.Addr().String())
+	f.Move(server.Listener.Addr().String())
 	f.expectVersions(t, 7, 8)
-	f.calls = next.calls
+	f.calls = next.Calls
 	f.expectCalls(t, "", "watch=1&after=7")
 }
 
 func TestEntriesAreRead(t *testing.T) {
-	m, err := parseMembers([]byte(members(3, true, member("a", "127.0.0.1:1", "Ready"), member("b", "", "Gone"))))
+	m, err := Parse([]byte(members(3, true, member("a", "127.0.0.1:1", "Ready"), member("b", "", "Gone"))))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -6,10 +6,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"strconv"
 
+	"tuliprock/internal/netaddr"
+	"tuliprock/internal/roster/platform"
 	"tuliprock/internal/wire"
 )
 
@@ -34,7 +35,7 @@
 	Listen    string
 	Discovery string
 	Limits    Limits
-	Known     Members
+	Known     platform.Members
 	Settings  wire.Settings
 }
 
@@ -69,10 +70,10 @@
 	}
 	c := Config{Name: fill(file.Name, "ROUTER_NAME"), Listen: fill(file.Listen, "ROUTER_LISTEN"),
 		Discovery: fill(file.Discovery, "ROUTER_DISCOVERY"), Limits: file.Limits}
-	if err := checkAddress("listen", c.Listen); err != nil {
+	if err := netaddr.Check("listen", c.Listen); err != nil {
 		return c, err
 	}
-	if err := checkAddress("discovery", c.Discovery); err != nil {
+	if err := netaddr.Check("discovery", c.Discovery); err != nil {
 		return c, err
 	}
 	if err := c.Limits.check(); err != nil {
@@ -89,7 +90,7 @@
 		return c, fmt.Errorf("seed: %w", err)
 	}
 	if len(file.Known) > 0 {
-		if c.Known, err = parseMembers(file.Known); err != nil {
+		if c.Known, err = platform.Parse(file.Known); err != nil {
 			return c, fmt.Errorf("known: %w", err)
 		}
 	}
@@ -117,18 +118,3 @@
 	}
 	return nil
 }
-
-// checkAddress tells whether an address is host:port with a number for a port.
-func checkAddress(field, addr string) error {
-	if addr == "" {
-		return fmt.Errorf("%s: missing", field)
-	}
-	_, port, err := net.SplitHostPort(addr)
-	if err != nil {
-		return fmt.Errorf("%s: %w", field, err)
-	}
-	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
-		return fmt.Errorf("%s: port %q is not a number up to 65535", field, port)
-	}
-	return nil
-}
--- a/internal/sidecar/peers_test.go
+++ b/internal/sidecar/peers_test.go
@@ -14,4 +14,6 @@
 	newEndpoint = testpeer.New
 	says        = testpeer.Says
 	until       = testpeer.Until
+	members     = testpeer.Members
+	member      = testpeer.Member
 )
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,6 +15,8 @@
 
 	"tuliprock"
 	"tuliprock/internal/engine"
+	"tuliprock/internal/front/plain"
+	"tuliprock/internal/roster/platform"
 )
 
 const (
@@ -25,10 +28,10 @@
 // Sidecar is a sidecar that listens.
 type Sidecar struct {
 	server    *http.Server
-	callers   *server
-	conns     *callers
+	callers   *plain.Server
+	conns     *plain.Conns
 	engine    *engine.Engine
-	discovery *discovery
+	discovery *platform.Discovery
 }
 
 // Start wires the parts and opens the listener; Serve does the work.
@@ -40,37 +43,37 @@
 	settings := c.Settings.Settings
 	settings.MayProbe = false // probing endpoints is ruled out
 	each := (c.Limits.Sockets - otherDescriptors) / 2
-	d := &discovery{addr: c.Discovery, onAsk: settings.MustSubscribe, asked: make(chan struct{}, 1), version: c.Known.Version,
-		log: log, silence: watchSilence, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	var e *engine.Engine
+	d := platform.New(platform.Options{Addr: c.Discovery, OnAsk: settings.MustSubscribe, Version: c.Known.Version,
+		Deliver: func(m platform.Members) { e.Heard(m.Engine()) }, Failed: func() { e.RosterFailed() }, Log: log})
 	known := c.Known
 	known.Full = true // the list as it was last had, and the first that the module hears
-	e := engine.New(settings, known.members(), engine.Options{ConnIdle: c.Settings.ConnIdle, DialTimeout: c.Settings.DialTimeout,
-		Conns: max(each, 8), Subscribe: d.subscribe, Log: log})
-	d.deliver = func(m Members) { e.Heard(m.members()) }
-	d.failed = e.RosterFailed
+	e = engine.New(settings, known.Engine(), engine.Options{ConnIdle: c.Settings.ConnIdle, DialTimeout: c.Settings.DialTimeout,
+		Conns: max(each, 8), Subscribe: d.Subscribe, Log: log})
 
 	log.Info("listening", "addr", listener.Addr().String())
 	// Beyond the budget callers wait in the kernel's queue, which costs no descriptor and loses nothing.
-	conns := &callers{Listener: netutil.LimitListener(listener, max(each, 8)+spareCallers), most: max(each, 8), open: map[*callerConn]bool{}}
+	conns := plain.NewConns(netutil.LimitListener(listener, max(each, 8)+spareCallers), max(each, 8))
 
-	s := &server{engine: e, effects: map[string]tuliprock.Effect{}, host: c.Listen, log: log, bodyTimeout: bodyTimeout}
+	at := &desk{engine: e, effects: map[string]tuliprock.Effect{}}
 	for _, class := range settings.Classes {
-		s.effects[class.Name] = class.Effect
+		at.effects[class.Name] = class.Effect
 	}
-	return &Sidecar{server: s.http(conns.track), callers: s, conns: conns, engine: e, discovery: d}, nil
+	s := plain.New(at, c.Listen, log)
+	return &Sidecar{server: s.HTTP(conns), callers: s, conns: conns, engine: e, discovery: d}, nil
 }
 
 // Addr is where the sidecar listens.
 func (s *Sidecar) Addr() net.Addr { return s.conns.Addr() }
 
 // Reload takes up what of a new configuration may change while requests are served: where discovery is.
-func (s *Sidecar) Reload(c Config) { s.discovery.move(c.Discovery) }
+func (s *Sidecar) Reload(c Config) { s.discovery.Move(c.Discovery) }
 
 // Serve serves until ctx ends and then until all that was taken has been answered.
 func (s *Sidecar) Serve(ctx context.Context) error {
 	work, stop := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
-	for _, run := range []func(context.Context){s.engine.Run, s.discovery.run} {
+	for _, run := range []func(context.Context){s.engine.Run, s.discovery.Run} {
 		parts.Go(func() { run(work) })
 	}
 	defer parts.Wait()
@@ -91,8 +94,24 @@
 // time: requests end by their deadlines, and net/http closes connections that bring none.
 func (s *Sidecar) drain(served <-chan error) error {
 	time.Sleep(acceptAfterTerm)
-	s.callers.ending.Store(true)
-	err := s.conns.finish()
+	s.callers.End()
+	err := s.conns.Finish()
 	<-served // the listener is closed
 	return errors.Join(err, s.server.Close())
 }
+
+// desk finds a request's class in the first segment of its path; the one engine serves all classes that are listed.
+type desk struct {
+	engine  *engine.Engine
+	effects map[string]tuliprock.Effect
+}
+
+// Receive implements plain.Desk.
+func (d *desk) Receive(r *http.Request) (plain.Visit, *plain.Refusal) {
+	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	effect, listed := d.effects[class]
+	if !listed {
+		return plain.Visit{}, &plain.Refusal{Status: http.StatusNotFound, Reason: fmt.Sprintf("class %.40q is not served", class), Close: true}
+	}
+	return plain.Visit{Engine: d.engine, Class: class, Effect: effect, Tenant: r.Header.Get("Req-Owner")}, nil
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -14,6 +14,8 @@
 	"sync"
 	"testing"
 	"time"
+	"tuliprock/internal/roster/platform"
+	"tuliprock/internal/testpeer"
 )
 
 const laneSettings = `{"Lanes":[{"Name":"look","Semantics":"read_like","OnTimeUs":2000000},
@@ -37,7 +39,7 @@
 
 func runWithin(t *testing.T, limits string, addrs ...string) *running {
 	t.Helper()
-	silent := httptest.NewServer(&script{calls: make(chan string, 100)})
+	silent := httptest.NewServer(&testpeer.Script{Calls: make(chan string, 100)})
 	var list []string
 	for i, addr := range addrs {
 		list = append(list, member(string(rune('a'+i)), addr, "Ready"))
@@ -149,7 +151,7 @@
 func TestUnsafeWorkIsNotResentAndNotRefused(t *testing.T) {
 	e := newEndpoint(t, says("", false))
 	s := run(t, e.Addr, e.Addr, e.Addr)
-	if status, _, _ := ask(t, s.request(t, http.MethodPost, "/pay", "r1", 4000)); status != statusFailed {
+	if status, _, _ := ask(t, s.request(t, http.MethodPost, "/pay", "r1", 4000)); status != http.StatusBadGateway {
 		t.Errorf("may have run: %d", status)
 	}
 	if n := e.Requests.Load(); n != 1 {
@@ -159,7 +161,7 @@
 	closed.Listener.Close()
 	s = run(t, closed.Addr)
 	status, _, h := ask(t, s.request(t, http.MethodPost, "/pay", "r2", 4000))
-	if status != statusRefused || h.Get("Retry-After") == "" {
+	if status != http.StatusServiceUnavailable || h.Get("Retry-After") == "" {
 		t.Errorf("never ran: %d %v", status, h)
 	}
 }
@@ -170,7 +172,7 @@
 		return false
 	})
 	s := run(t, e.Addr)
-	if status, _, _ := ask(t, s.request(t, http.MethodPost, "/pay", "r1", 300)); status != statusFailed {
+	if status, _, _ := ask(t, s.request(t, http.MethodPost, "/pay", "r1", 300)); status != http.StatusBadGateway {
 		t.Errorf("status %d", status)
 	}
 }
@@ -211,7 +213,7 @@
 		first <- status
 	}()
 	<-came
-	if status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", "same", 60000)); status != statusDuplicate {
+	if status, _, _ := ask(t, s.request(t, http.MethodGet, "/look", "same", 60000)); status != http.StatusConflict {
 		t.Errorf("second: %d", status)
 	}
 	close(release)
@@ -277,11 +279,11 @@
 // A list goes through the loop, as discovery's do: what comes after it finds it in force.
 func (s *running) tell(t *testing.T, text string) {
 	t.Helper()
-	m, err := parseMembers([]byte(text))
+	m, err := platform.Parse([]byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.discovery.deliver(m)
+	s.engine.Heard(m.Engine())
 }
 
 func TestNothingNewGoesToWhatDrainsOrIsGone(t *testing.T) {
@@ -384,7 +386,7 @@
 func TestAnUnfinishedBodyIsGivenUp(t *testing.T) {
 	e := newEndpoint(t, says(served, true))
 	s := run(t, e.Addr)
-	s.callers.bodyTimeout = 100 * time.Millisecond
+	s.callers.LimitBodies(100 * time.Millisecond)
 	for name, fields := range map[string]string{"good": "Req-Id: r1\r\nReq-Deadline-Ms: 60000\r\n", "no id": ""} {
 		nc, err := net.Dial("tcp", s.addr)
 		if err != nil {
--- /dev/null
+++ b/internal/testpeer/discovery.go
@@ -0,0 +1,41 @@
+package testpeer
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// Members is a message of the platform's discovery.
+func Members(version int, full bool, entries ...string) string {
+	return fmt.Sprintf(`{"version":%d,"full":%v,"servers":[%s]}`, version, full, strings.Join(entries, ","))
+}
+
+// Member is an entry of one.
+func Member(id, addr, state string) string {
+	return fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"z","kind":"k","cell":3,"state":%q,"weight":1.0,"started_ms":0}`, id, addr, state)
+}
+
+// Script answers each call to discovery with its next step and reports the call.
+type Script struct {
+	Steps []string // lines; "SILENT" at the end holds the connection open
+	Calls chan string
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Script) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.Calls <- r.URL.RawQuery
+	if len(s.Steps) == 0 {
+		<-r.Context().Done()
+		return
+	}
+	step := s.Steps[0]
+	s.Steps = s.Steps[1:]
+	text, silent := strings.CutSuffix(step, "SILENT")
+	io.WriteString(w, text)
+	w.(http.Flusher).Flush()
+	if silent {
+		<-r.Context().Done()
+	}
+}
