--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,211 @@
+package route
+
+import (
+	"fmt"
+	"net/url"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestTheMostSpecificRouteWins(t *testing.T) {
+	table := []Match{
+		0:  {},
+		1:  {Path: "/a/*"},
+		2:  {Path: "/a/b/*"},
+		3:  {Path: "/a/b"},
+		4:  {Path: "/a/b", Methods: []string{"POST"}},
+		5:  {Path: "/a/b", Methods: []string{"GET"}, Headers: map[string]string{"X-Tier": "gold"}},
+		6:  {Host: "*.example"},
+		7:  {Host: "*.forms.example", Path: "/a/*"},
+		8:  {Host: "forms.example", Path: "/only"},
+		9:  {Host: "strict.test", Path: "/x", Methods: []string{"PUT", "GET"}},
+		10: {Host: "strict.test", Path: "/x", Methods: []string{"DELETE"}},
+	}
+	gold := func(name string) string { return map[string]string{"X-Tier": "gold"}[name] }
+	plain := func(string) string { return "" }
+	for _, row := range []struct {
+		host, path, method string
+		header             Header
+		want               int
+	}{
+		{"", "/", "GET", plain, 0},
+		{"other:80", "/a", "GET", plain, 0},
+		{"other", "/a/", "GET", plain, 1},
+		{"other", "/a/c/d/e", "GET", plain, 1},
+		{"other", "/a/b/", "GET", plain, 2},
+		{"other", "/a/b", "GET", plain, 3},
+		{"other", "/a/b", "POST", plain, 4},
+		{"other", "/a/b", "POST", gold, 4},
+		{"other", "/a/b", "GET", gold, 5},
+		{"FORMS.example.:8080", "/only", "GET", plain, 8},
+		{"forms.example", "/a/b", "GET", plain, 6}, // its own routes do not fit, the pattern above does
+		{"x.forms.example", "/a/b", "GET", plain, 7},
+		{"y.x.forms.example", "/b", "GET", plain, 6},
+		{"example", "/b", "GET", plain, 0},
+		{"[::1]:80", "/b", "GET", plain, 0},
+	} {
+		if got, _ := New(table).Find(row.host, row.path, row.method, row.header); got != row.want {
+			t.Errorf("%s %s%s takes %d, want %d", row.method, row.host, row.path, got, row.want)
+		}
+	}
+	if n, allowed := New(table[8:]).Find("strict.test", "/x", "POST", plain); n != -1 || !slices.Equal(allowed, []string{"DELETE", "GET", "PUT"}) {
+		t.Errorf("%d, allowed %v", n, allowed)
+	}
+	if n, allowed := New(table[8:]).Find("strict.test", "/y", "POST", plain); n != -1 || len(allowed) != 0 {
+		t.Errorf("%d, allowed %v", n, allowed)
+	}
+}
+
+// drawn gives matches of few parts, so that many fit the same requests.
+func drawn(t *rapid.T) Match {
+	return Match{
+		Host:    rapid.SampledFrom([]string{"", "a.b", "*.b", "*.a.b"}).Draw(t, "host"),
+		Path:    rapid.SampledFrom([]string{"", "/*", "/x", "/x/*", "/x/y", "/x/y/*"}).Draw(t, "path"),
+		Methods: rapid.SampledFrom([][]string{nil, {"GET"}, {"POST"}, {"GET", "POST"}}).Draw(t, "methods"),
+		Headers: rapid.SampledFrom([]map[string]string{nil, {"A": "1"}, {"A": "2"}, {"B": "1"}, {"A": "1", "B": "1"}}).Draw(t, "headers"),
+	}
+}
+
+// fits is Match in one sentence, and beats the order in another: what the table does by look-up.
+func fits(m Match, host, path, method string, header Header) bool {
+	below, star := strings.CutPrefix(m.Host, "*")
+	if m.Host != "" && m.Host != host && !(star && strings.HasSuffix(host, below)) {
+		return false
+	}
+	if p, star := strings.CutSuffix(m.path(), "*"); p != path && !(star && strings.HasPrefix(path, p)) || star && len(path) < len(p) {
+		return false
+	}
+	for name, value := range m.Headers {
+		if header(name) != value {
+			return false
+		}
+	}
+	return len(m.Methods) == 0 || slices.Contains(m.Methods, method)
+}
+
+func beats(x, y Match) bool {
+	rank := func(m Match) []int {
+		host, path := 3*len(m.Host), 3*len(m.path())
+		if !strings.HasPrefix(m.Host, "*") {
+			host += 1000 * min(len(m.Host), 1)
+		}
+		if !strings.HasSuffix(m.path(), "*") {
+			path += 1000
+		}
+		return []int{host, path, min(len(m.Methods), 1), len(m.Headers)}
+	}
+	return slices.Compare(rank(x), rank(y)) > 0
+}
+
+// The table agrees with a walk through all matches, and where none overlap there is always one that beats the others.
+func TestTheTableAgreesWithAWalk(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []Match
+		for _, m := range rapid.SliceOfN(rapid.Custom(drawn), 1, 12).Draw(t, "matches") {
+			if !slices.ContainsFunc(all, m.Overlaps) {
+				all = append(all, m)
+			}
+		}
+		host := rapid.SampledFrom([]string{"", "a.b", "c.b", "c.a.b", "z"}).Draw(t, "to")
+		path := rapid.SampledFrom([]string{"/", "/x", "/x/", "/x/y", "/x/y/z", "/q"}).Draw(t, "at")
+		method := rapid.SampledFrom([]string{"GET", "POST", "PUT"}).Draw(t, "by")
+		values := rapid.SampledFrom([]map[string]string{{}, {"A": "1"}, {"A": "2", "B": "1"}, {"A": "1", "B": "1"}}).Draw(t, "with")
+		header := func(name string) string { return values[name] }
+		want := -1
+		for n, m := range all {
+			if fits(m, host, path, method, header) && (want < 0 || beats(m, all[want])) {
+				want = n
+			}
+		}
+		for n, m := range all {
+			if n != want && fits(m, host, path, method, header) && !beats(all[want], m) {
+				t.Fatalf("%+v and %+v tie, and neither overlaps", all[want], m)
+			}
+		}
+		if got, _ := New(all).Find(host, path, method, header); got != want {
+			t.Fatalf("%s %s%s %v takes %d, want %d of %+v", method, host, path, values, got, want, all)
+		}
+	})
+}
+
+func TestBadMatchesAreRefused(t *testing.T) {
+	for _, m := range []Match{{Host: "A.example"}, {Host: "*"}, {Host: "*."}, {Host: "a.*.b"}, {Host: "a:80"}, {Path: "a"}, {Path: "/a*"},
+		{Path: "/*/b"}, {Path: "/a/../b"}, {Path: "/a//b"}, {Path: "/%61"}} {
+		if m.Check() == nil {
+			t.Errorf("%+v passes", m)
+		}
+	}
+	for _, m := range []Match{{}, {Host: "*.example", Path: "/*"}, {Host: "a", Path: "/a/%20b/*"}, {Path: "/a/"}} {
+		if err := m.Check(); err != nil {
+			t.Errorf("%+v: %v", m, err)
+		}
+	}
+}
+
+// ambiguous are paths that some server reads as another than we would.
+var ambiguous = []string{"", "x", "*", "/a/../b", "/a/./b", "/..", "/a/%2e%2e/b", "/a/.%2E/b", "/a/%252e%252e/b", "/a/..;x=1/b", "/a/..%2fb", "/a/..%5cb",
+	"/a/..\\b", "/a/%00b", "/a%0d%0ab", "/a/%zz", "/a/%2", "/a b"}
+
+func TestPathsOfTwoMeaningsAreRefused(t *testing.T) {
+	for _, path := range append(ambiguous, "//a", "/a//b", "/a%2Fb", "/a%5Cb", "/a\\b", "/%61", "/a%2Db", "/a/%7E") {
+		if Check(path) == nil {
+			t.Errorf("%q passes", path)
+		}
+	}
+	for _, path := range []string{"/", "/a", "/a/", "/a.b/c..d/...", "/a/%20%C3%A4", "/a;v=1/b", "/~a/-_"} {
+		if err := Check(path); err != nil {
+			t.Errorf("%q: %v", path, err)
+		}
+	}
+	for _, path := range append(ambiguous, "/form%2Dlookup/x", "/form;x/y", "/form\\..\\x") {
+		if first, err := FirstSegment(path); err == nil {
+			t.Errorf("%q passes as %q", path, first)
+		}
+	}
+	for path, want := range map[string]string{"/": "", "//a": "", "/a/b%2Fc//d": "a", "/a": "a", "/a/": "a", "/a/%7Eb": "a"} {
+		if first, err := FirstSegment(path); err != nil || first != want {
+			t.Errorf("%q: %q, %v", path, first, err)
+		}
+	}
+}
+
+// What passes is read the same by those who decode, by those who take dot segments away, and by those who do neither.
+func FuzzCheck(f *testing.F) {
+	for _, path := range append(ambiguous, "/a/b", "/a;b/%20") {
+		f.Add(path)
+	}
+	f.Fuzz(func(t *testing.T, path string) {
+		if Check(path) != nil {
+			return
+		}
+		u, err := url.ParseRequestURI(path)
+		if err != nil || strings.ContainsAny(path, "?#") {
+			t.Skip()
+		}
+		if cleaned := u.JoinPath("."); strings.TrimSuffix(cleaned.EscapedPath(), "/") != strings.TrimSuffix(u.EscapedPath(), "/") {
+			t.Errorf("%q is also read as %q", path, cleaned.EscapedPath())
+		}
+		if strings.Count(u.Path, "/") != strings.Count(path, "/") {
+			t.Errorf("%q has other segments once decoded: %q", path, u.Path)
+		}
+	})
+}
+
+func BenchmarkFind(b *testing.B) {
+	for _, n := range []int{10, 10000} {
+		var all []Match
+		for i := range n {
+			all = append(all, Match{Host: fmt.Sprintf("h%d.example", i%100), Path: fmt.Sprintf("/p%d/*", i)})
+		}
+		table := New(all)
+		b.Run(fmt.Sprint(n, " routes"), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				table.Find(all[i%n].Host, "/p1/a/b", "GET", nil)
+			}
+		})
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +16,7 @@
 	"tuliprock/internal/engine"
 	"tuliprock/internal/front/plain"
 	"tuliprock/internal/roster/platform"
+	"tuliprock/internal/route"
 )
 
 const (
@@ -108,7 +108,10 @@
 
 // Receive implements plain.Desk.
 func (d *desk) Receive(r *http.Request) (plain.Visit, *plain.Refusal) {
-	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	class, err := route.FirstSegment(r.URL.EscapedPath())
+	if err != nil { // a server might read another class than we do
+		return plain.Visit{}, &plain.Refusal{Status: http.StatusBadRequest, Reason: err.Error(), Close: true}
+	}
 	effect, listed := d.effects[class]
 	if !listed {
 		return plain.Visit{}, &plain.Refusal{Status: http.StatusNotFound, Reason: fmt.Sprintf("class %.40q is not served", class), Close: true}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -254,6 +254,9 @@
 		"unsafe work by GET":        "GET /pay" + host + id + ms + "\r\n",
 		"a class nobody listed":     "GET /looks" + host + id + ms + "\r\n",
 		"no class":                  "GET /" + host + id + ms + "\r\n",
+		"a way out of the class":    "GET /look/../pay/x" + host + id + ms + "\r\n",
+		"an encoded way out":        "GET /look/%2e%2E%2fpay/x" + host + id + ms + "\r\n",
+		"a class in other letters":  "GET /l%6fok" + host + id + ms + "\r\n",
 	} {
 		nc, err := net.Dial("tcp", s.addr)
 		if err != nil {
