--- a/api.go
+++ b/api.go
@@ -86,6 +86,7 @@
 	Work           string        // classes of one work take alike, under whatever policy; empty: Name
 	AttemptTimeout time.Duration // an attempt ends as TimedOut after this time; 0: with the request
 	MaxAttempts    int           // attempts allowed for a request, copies included; 0: Settings.MaxAttempts
+	NoRerun        bool          // what may have run is not sent again, whatever the effect
 	CopyAfter      time.Duration // a Safe request without an answer for this long gets a second copy; 0: none
 	CopyShare      float64       // or without one for longer than this share of the latest answers took; 0: none
 	Queue          int           // requests that may wait here for room; 0: any number, below 0: none
--- a/balancer.go
+++ b/balancer.go
@@ -310,10 +310,10 @@
 		if a.out && !q.copying {
 			return false
 		}
-		if !a.mayRun || c.Effect == Safe {
+		if !a.mayRun || c.Effect == Safe && !c.NoRerun {
 			continue
 		}
-		if c.Effect == Unsafe || now+2*b.s.Resolution >= a.sent+c.Window ||
+		if c.Effect == Unsafe || c.NoRerun || now+2*b.s.Resolution >= a.sent+c.Window ||
 			c.Group == GroupZone && a.e.Zone != e.Zone || c.Group == GroupCell && a.e.Cell != e.Cell {
 			return false
 		}
--- a/internal/hclbody/hclbody.go
+++ b/internal/hclbody/hclbody.go
@@ -85,6 +85,26 @@
 // Share is a number from 0 to 1.
 type Share float64
 
+// Size is a number of bytes, written with its unit: "64KiB", "128MiB" or "2GiB".
+type Size int64
+
+var sizeUnits = map[string]float64{"KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30}
+
+func (r *Reader) size(name string, at hcl.Range, v cty.Value, to *Size) {
+	text, ok := r.text(name, at, v, `a size with its unit, such as "128MiB"`)
+	if !ok {
+		return
+	}
+	digits := strings.TrimRight(text, "KMGiB")
+	x, err := strconv.ParseFloat(strings.TrimSpace(digits), 64)
+	unit := sizeUnits[text[len(digits):]]
+	if err != nil || unit == 0 || x < 0 {
+		r.Fault(at, `%s: %q is no size; write such as "64KiB" or "128MiB"`, name, text)
+		return
+	}
+	*to = Size(x * unit)
+}
+
 // value reads one attribute into a pointer.
 func (r *Reader) value(a *hcl.Attribute, to any) {
 	v, diags := a.Expr.Value(r.Vars)
@@ -96,6 +116,8 @@
 	switch to := to.(type) {
 	case *time.Duration:
 		r.duration(a.Name, at, v, to)
+	case *Size:
+		r.size(a.Name, at, v, to)
 	case *Rate:
 		text, ok := r.text(a.Name, at, v, `a rate with its unit, such as "50/s"`)
 		if !ok {
--- a/policy_test.go
+++ b/policy_test.go
@@ -118,6 +118,14 @@
 }
 
 func TestAttemptsAndQueueAreAClassesOwn(t *testing.T) {
+	once := under(t, func(c *tuliprock.Class) { c.NoRerun = true })
+	ran, _ := once.call("read")
+	once.end(ran, tuliprock.Reset)
+	unrun, _ := once.call("read")
+	once.end(unrun, tuliprock.ConnectFailed)
+	if len(once.to[ran]) != 1 || once.count("refuse "+ran) != 1 || len(once.to[unrun]) != 2 {
+		t.Errorf("not to run again: sent to %v after a run, to %v after none: %v", once.to[ran], once.to[unrun], once.did)
+	}
 	r := under(t, func(c *tuliprock.Class) { c.MaxAttempts = 2 })
 	id, _ := r.call("read")
 	r.end(id, tuliprock.Reset)
