--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -13,6 +13,7 @@
 // Config is what a good file says.
 type Config struct {
 	File      string
+	Text      []byte // of the file
 	Admin     string // host:port, or unix: and a path; empty: none
 	Fleet     Fleet
 	Limits    Limits
--- a/internal/conf/read.go
+++ b/internal/conf/read.go
@@ -97,7 +97,7 @@
 	r := &reader{policies: map[string]*policy{}, ofClass: map[string]named{}, uses: map[string]bool{}, named: map[string]hcl.Range{},
 		addresses: map[string]hcl.Range{}}
 	r.Vars = &hcl.EvalContext{Functions: map[string]function.Function{"env": env(getenv)}}
-	r.File = name
+	r.File, r.Text = name, text
 	r.Fleet = Fleet{Instances: 1}
 	r.Limits = Limits{Memory: defaultMemory, Connections: defaultConnections, StopWithin: defaultStopWithin}
 	var routes, pools []*hcl.Block
--- /dev/null
+++ b/internal/daemon/admin.go
@@ -0,0 +1,219 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"tuliprock/internal/engine"
+	"tuliprock/internal/limit"
+)
+
+// Status is what the admin listener tells of a daemon.
+type Status struct {
+	File       string           `json:"file"`
+	Generation int              `json:"generation"`
+	Draining   int              `json:"draining_generations"` // older ones with requests under way
+	Reloads    reloads          `json:"reloads"`
+	Warnings   []string         `json:"warnings,omitempty"`
+	Listeners  []ListenerStatus `json:"listeners"`
+	Pools      []PoolStatus     `json:"pools"`
+	Routes     []RouteStatus    `json:"routes"`
+}
+
+// ListenerStatus is what is told of a listener.
+type ListenerStatus struct {
+	Name        string `json:"name"`
+	Address     string `json:"address"`
+	Ending      bool   `json:"ending,omitempty"` // the configuration has it no more
+	Connections int    `json:"connections"`
+	TurnedAway  int    `json:"turned_away"` // connections for which there was no place
+}
+
+// PoolStatus is what is told of a pool.
+type PoolStatus struct {
+	Name   string `json:"name"`
+	Ending bool   `json:"ending,omitempty"` // the configuration has it no more, or another of its name
+	engine.Stats
+	Roster string `json:"roster_error,omitempty"` // why the roster as it is now is not in force
+}
+
+// RouteStatus is what is told of a route.
+type RouteStatus struct {
+	Name     string `json:"name"`
+	Class    string `json:"class"`
+	Pool     string `json:"pool"`
+	UnderWay int    `json:"under_way"`
+	Tenants  int    `json:"tenants"` // told apart at present
+}
+
+// Status tells how the daemon is.
+func (d *Daemon) Status(ctx context.Context) Status {
+	d.reloading.Lock()
+	pools, now := slices.Clone(d.pools), d.now
+	s := Status{Draining: len(d.retired)}
+	d.reloading.Unlock()
+	slices.SortStableFunc(pools, func(x, y *pool) int { return strings.Compare(x.name, y.name) })
+	for _, p := range pools {
+		s.Pools = append(s.Pools, PoolStatus{Name: p.name, Ending: now.pools[p.name] != p, Stats: p.engine.Stats(ctx), Roster: p.fault()})
+	}
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	s.File, s.Generation, s.Reloads, s.Warnings = d.path, d.now.n, d.reloads, d.now.conf.Warnings
+	for _, l := range d.listeners {
+		open, shed := l.conns.Load()
+		s.Listeners = append(s.Listeners, ListenerStatus{Name: l.name, Address: l.conns.Addr().String(), Ending: l.last != nil,
+			Connections: open, TurnedAway: shed})
+	}
+	for _, r := range d.now.conf.Routes {
+		g := d.gates[r.Name]
+		g.mu.Lock()
+		out, tenants := g.l.Load()
+		g.mu.Unlock()
+		s.Routes = append(s.Routes, RouteStatus{Name: r.Name, Class: r.Class.Name, Pool: r.Pool, UnderWay: out, Tenants: tenants})
+	}
+	return s
+}
+
+// handler serves the admin listener.
+func (d *Daemon) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), time.Second)
+		defer cancel()
+		w.Header().Set("Content-Type", "application/json")
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		_ = e.Encode(d.Status(ctx)) // an error means that the reader has left
+	})
+	mux.HandleFunc("POST /reload", func(w http.ResponseWriter, _ *http.Request) {
+		if err := d.Reload(); err != nil {
+			http.Error(w, err.Error(), http.StatusUnprocessableEntity)
+			return
+		}
+		_, _ = w.Write([]byte("reloaded\n"))
+	})
+	mux.Handle("GET /metrics", promhttp.HandlerFor(d.meter.registry, promhttp.HandlerOpts{}))
+	return mux
+}
+
+// meter keeps the daemon's metrics. Labels come from the configuration alone, so that callers cannot make more of them.
+type meter struct {
+	registry *prometheus.Registry
+	answers  *prometheus.CounterVec
+	limits   *prometheus.CounterVec
+	took     *prometheus.HistogramVec
+}
+
+// routeMeter has a route's at hand.
+type routeMeter struct {
+	m     *meter
+	route string
+	kinds map[engine.Kind]prometheus.Counter
+	bad   prometheus.Counter
+	took  prometheus.Observer
+}
+
+var kindNames = map[engine.Kind]string{engine.Served: "served", engine.Refused: "refused", engine.Failed: "failed", engine.Duplicate: "duplicate"}
+
+func newMeter(d *Daemon) *meter {
+	m := &meter{registry: prometheus.NewRegistry(),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "rowancart_answers_total", Help: "Final answers, by route and kind."},
+			[]string{"route", "kind"}),
+		limits: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "rowancart_limited_total",
+			Help: "Requests turned away by a limit, by route and limit."}, []string{"route", "limit"}),
+		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "rowancart_answer_seconds",
+			Help: "Time from a request's arrival to its final answer, by route.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 15)}, []string{"route"}),
+	}
+	m.registry.MustRegister(m.answers, m.limits, m.took, &collector{d})
+	return m
+}
+
+func (m *meter) route(name string) *routeMeter {
+	r := &routeMeter{m: m, route: name, kinds: map[engine.Kind]prometheus.Counter{}, took: m.took.WithLabelValues(name),
+		bad: m.answers.WithLabelValues(name, "improper")}
+	for kind, word := range kindNames {
+		r.kinds[kind] = m.answers.WithLabelValues(name, word)
+	}
+	return r
+}
+
+// forget drops the metrics of a route that is gone.
+func (m *meter) forget(route string) {
+	labels := prometheus.Labels{"route": route}
+	m.answers.DeletePartialMatch(labels)
+	m.limits.DeletePartialMatch(labels)
+	m.took.DeletePartialMatch(labels)
+}
+
+func (r *routeMeter) over(taken bool, k engine.Kind, took time.Duration) {
+	if !taken {
+		r.bad.Inc()
+		return
+	}
+	r.kinds[k].Inc()
+	r.took.Observe(took.Seconds())
+}
+
+func (r *routeMeter) limited(why limit.Why) {
+	r.m.limits.WithLabelValues(r.route, strings.ReplaceAll(string(why), " ", "_")).Inc()
+}
+
+// collector gives what is read off the daemon when metrics are asked for.
+type collector struct{ d *Daemon }
+
+var (
+	generationDesc = prometheus.NewDesc("rowancart_generation", "Number of the configuration in force.", nil, nil)
+	reloadsDesc    = prometheus.NewDesc("rowancart_reloads_total", "Reloads, by whether the file was good.", []string{"good"}, nil)
+	endpointsDesc  = prometheus.NewDesc("rowancart_endpoints", "Endpoints of a pool, by state.", []string{"pool", "state"}, nil)
+	callsDesc      = prometheus.NewDesc("rowancart_calls", "Requests that a pool is at work on.", []string{"pool"}, nil)
+	poolConnsDesc  = prometheus.NewDesc("rowancart_pool_connections", "Connections open to the endpoints of a pool.", []string{"pool"}, nil)
+	connsDesc      = prometheus.NewDesc("rowancart_connections", "Callers' connections, by listener.", []string{"listener"}, nil)
+	turnedDesc     = prometheus.NewDesc("rowancart_turned_away_total", "Connections turned away for lack of places, by listener.", []string{"listener"}, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (c *collector) Describe(out chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{generationDesc, reloadsDesc, endpointsDesc, callsDesc, poolConnsDesc, connsDesc, turnedDesc} {
+		out <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *collector) Collect(out chan<- prometheus.Metric) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	s := c.d.Status(ctx)
+	gauge := func(d *prometheus.Desc, v int, labels ...string) {
+		out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, float64(v), labels...)
+	}
+	count := func(d *prometheus.Desc, v int, labels ...string) {
+		out <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), labels...)
+	}
+	gauge(generationDesc, s.Generation)
+	count(reloadsDesc, s.Reloads.Good, strconv.FormatBool(true))
+	count(reloadsDesc, s.Reloads.Bad, strconv.FormatBool(false))
+	for _, p := range s.Pools {
+		if p.Ending { // its successor may have its name
+			continue
+		}
+		gauge(endpointsDesc, p.Ready, p.Name, "ready")
+		gauge(endpointsDesc, p.Draining, p.Name, "draining")
+		gauge(callsDesc, p.Calls, p.Name)
+		gauge(poolConnsDesc, p.Connections, p.Name)
+	}
+	for _, l := range s.Listeners {
+		if !l.Ending { // its successor may have its name
+			gauge(connsDesc, l.Connections, l.Name)
+			count(turnedDesc, l.TurnedAway, l.Name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/pool.go
@@ -0,0 +1,168 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"reflect"
+	"slices"
+	"sync"
+	"time"
+
+	"tuliprock"
+	"tuliprock/internal/conf"
+	"tuliprock/internal/engine"
+	"tuliprock/internal/roster/file"
+	"tuliprock/internal/roster/platform"
+)
+
+const (
+	resolution    = 2 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+)
+
+// pool is an engine and the roster that it hears.
+type pool struct {
+	name   string
+	engine *engine.Engine
+	cancel context.CancelFunc // ends the engine; nil before it runs
+	log    *slog.Logger
+	seed   uint64
+
+	// The daemon's reloads guard these:
+	work    context.Context
+	conf    conf.Pool
+	classes []tuliprock.Class
+	fleet   conf.Fleet
+	tenants []tuliprock.Tenant
+	follow  *following // nil: a static roster
+
+	mu  sync.Mutex
+	bad string // why the roster as it is now is not in force
+}
+
+// following is a roster that changes by itself.
+type following struct {
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+func (f *following) stop() {
+	if f != nil {
+		f.cancel()
+		<-f.ended
+	}
+}
+
+// sameServers tells whether a pool whose roster becomes another one is still the same pool. One that lists none of the servers
+// that it had is another under the same name: requests that were meant for the old servers must not go to the new ones.
+func sameServers(was, is conf.Roster) bool {
+	if len(was.Static) > 0 && len(is.Static) > 0 {
+		return slices.ContainsFunc(was.Static, func(e conf.Endpoint) bool {
+			return slices.ContainsFunc(is.Static, func(o conf.Endpoint) bool { return o.ID == e.ID && o.Address == e.Address })
+		})
+	}
+	return was.File == is.File && was.Platform == is.Platform
+}
+
+// newPool makes a pool that knows its static roster, or nobody yet.
+func (d *Daemon) newPool(c conf.Pool, g *generation) *pool {
+	p := &pool{name: c.Name, conf: c, seed: d.seed, log: d.log.With("pool", c.Name)}
+	p.fleet, p.tenants = g.conf.Fleet, g.conf.Tenants
+	p.engine = engine.New(p.settings(), static(c.Roster), p.options())
+	return p
+}
+
+func static(r conf.Roster) engine.Members {
+	out := engine.Members{Complete: true}
+	for _, e := range r.Static {
+		out.Members = append(out.Members, engine.Member{ID: e.ID, Addr: e.Address, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell})
+	}
+	return out
+}
+
+func (p *pool) settings() tuliprock.Settings {
+	return tuliprock.Settings{Seed: p.seed, Balancers: p.fleet.Instances, Index: p.fleet.Index, TiersBelow: p.conf.TiersBelow, Classes: p.classes,
+		Tenants: p.tenants, MayCancel: true, MaxRetryAfter: maxRetryAfter, Resends: p.conf.Resends, Resolution: resolution,
+		ColdFrom: p.conf.ColdFrom, ColdFor: p.conf.ColdFor}
+}
+
+func (p *pool) options() engine.Options {
+	return engine.Options{ConnIdle: p.conf.ConnIdle, DialTimeout: p.conf.DialTimeout, Conns: p.conf.Connections, Relay: true,
+		Subscribe: func() {}, Log: p.log}
+}
+
+// startPool runs a pool's engine and follows its roster. d.reloading is held.
+func (d *Daemon) startPool(p *pool) {
+	ctx, cancel := context.WithCancel(d.work)
+	p.cancel, p.work = cancel, ctx
+	d.parts.Go(func() error { p.engine.Run(ctx); return nil })
+	p.followRoster()
+}
+
+// stop ends a pool that no request goes to any more.
+func (p *pool) stop() {
+	p.follow.stop()
+	if p.cancel != nil {
+		p.cancel()
+	}
+}
+
+// settle takes what a configuration says of a pool.
+func (p *pool) settle(g *generation, classes []tuliprock.Class) {
+	was := p.conf
+	for _, c := range g.conf.Pools {
+		if g.pools[c.Name] == p {
+			p.conf = c
+		}
+	}
+	if reflect.DeepEqual(was, p.conf) && reflect.DeepEqual(p.classes, classes) && p.fleet == g.conf.Fleet && reflect.DeepEqual(p.tenants, g.conf.Tenants) {
+		return
+	}
+	p.classes, p.fleet, p.tenants = classes, g.conf.Fleet, g.conf.Tenants
+	if p.cancel == nil { // nobody handles events yet: the engine is made anew
+		p.engine = engine.New(p.settings(), static(p.conf.Roster), p.options())
+		return
+	}
+	p.engine.Configure(p.settings(), p.options())
+	if reflect.DeepEqual(was.Roster, p.conf.Roster) {
+		return
+	}
+	p.engine.Heard(static(p.conf.Roster)) // one that is followed elsewhere has made the pool another
+}
+
+// followRoster follows a roster that changes by itself.
+func (p *pool) followRoster() {
+	var run func(ctx context.Context)
+	switch r := p.conf.Roster; {
+	case r.File != "":
+		run = func(ctx context.Context) { file.Follow(ctx, r.File, p.engine.Heard, p.told, p.log) }
+	case r.Platform != "":
+		run = platform.New(platform.Options{Addr: r.Platform, Deliver: func(m platform.Members) { p.engine.Heard(m.Engine()) },
+			Failed: p.engine.RosterFailed, Log: p.log}).Run
+	default:
+		return
+	}
+	ctx, cancel := context.WithCancel(p.work)
+	f := &following{cancel: cancel, ended: make(chan struct{})}
+	p.follow = f
+	go func() {
+		defer close(f.ended)
+		run(ctx)
+	}()
+}
+
+// told notes whether the roster is good.
+func (p *pool) told(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.bad = ""
+	if err != nil {
+		p.bad = err.Error()
+	}
+}
+
+func (p *pool) fault() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.bad
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -95,6 +95,7 @@
 type Engine struct {
 	clock    clock
 	balancer tuliprock.Events
+	settle   func(now time.Duration, s tuliprock.Settings)
 	events   chan func(now time.Duration)
 	done     chan struct{}
 	upstream *upstream
@@ -112,7 +113,8 @@
 func New(s tuliprock.Settings, known Members, o Options) *Engine {
 	l := &Engine{clock: clock{time.Now()}, events: make(chan func(time.Duration), 256), done: make(chan struct{}),
 		upstream: newUpstream(o), ask: o.Subscribe, log: o.Log, calls: map[string]*Call{}, members: map[string]bool{}}
-	l.balancer = tuliprock.New(l.clock.now(), s, host{l})
+	b := tuliprock.New(l.clock.now(), s, host{l})
+	l.balancer, l.settle = b, b.Configure
 	l.list(l.clock.now(), known)
 	return l
 }
@@ -137,6 +139,38 @@
 	l.post(func(now time.Duration) { l.balancer.EndpointList(now, tuliprock.List{Failed: true}) })
 }
 
+// Configure replaces the settings and what the options say of connections; Subscribe and Log stay. All that was learned is
+// kept, and calls that were taken before keep the classes that they came with (tuliprock.Balancer.Configure).
+func (l *Engine) Configure(s tuliprock.Settings, o Options) {
+	l.upstream.configure(o)
+	l.post(func(now time.Duration) { l.settle(now, s) })
+}
+
+// Stats is what an engine holds at a moment.
+type Stats struct {
+	Calls       int `json:"calls"`       // taken, not yet done with
+	Ready       int `json:"ready"`       // endpoints that take new work
+	Draining    int `json:"draining"`    // endpoints that do not
+	Connections int `json:"connections"` // open to endpoints, idle ones included
+}
+
+// Stats asks the loop, and gives nothing once ctx or the engine has ended.
+func (l *Engine) Stats(ctx context.Context) Stats {
+	out := make(chan Stats, 1)
+	l.post(func(time.Duration) {
+		s := Stats{Calls: len(l.calls)}
+		s.Ready, s.Draining, s.Connections = l.upstream.count()
+		out <- s
+	})
+	select {
+	case s := <-out:
+		return s
+	case <-ctx.Done():
+	case <-l.done:
+	}
+	return Stats{}
+}
+
 // Run works until ctx ends.
 func (l *Engine) Run(ctx context.Context) {
 	var parts sync.WaitGroup
--- a/internal/engine/upstream.go
+++ b/internal/engine/upstream.go
@@ -53,14 +53,15 @@
 // upstream makes attempts over connections of its own. net/http's Transport is not used: it sends some requests
 // again by itself when a reused connection breaks, which is a second copy, and dials spare connections.
 type upstream struct {
-	dialTimeout time.Duration
-	most        int  // connections open at once
-	relay       bool // answers below 500 are passed on as they are
+	relay bool // answers below 500 are passed on as they are
 
-	mu      sync.Mutex
-	idleFor time.Duration // after which an idle connection is no longer used
-	open    int
-	pools   map[string]*pool // by endpoint id
+	mu          sync.Mutex
+	dialTimeout time.Duration
+	most        int           // connections open at once
+	toldIdle    time.Duration // as the options say
+	idleFor     time.Duration // after which an idle connection is no longer used
+	open        int
+	pools       map[string]*pool // by endpoint id
 }
 
 // pool holds the idle connections to one endpoint, the one used last at the end.
@@ -82,14 +83,39 @@
 }
 
 func newUpstream(o Options) *upstream {
-	idle, dial := o.ConnIdle, o.DialTimeout
-	if idle <= 0 {
-		idle = defaultIdle
+	u := &upstream{relay: o.Relay, pools: map[string]*pool{}}
+	u.configure(o)
+	return u
+}
+
+// configure sets the limits. How soon endpoints were seen to close stands until the options say something new.
+func (u *upstream) configure(o Options) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if o.ConnIdle <= 0 {
+		o.ConnIdle = defaultIdle
 	}
-	if dial <= 0 {
-		dial = defaultDial
+	if o.DialTimeout <= 0 {
+		o.DialTimeout = defaultDial
 	}
-	return &upstream{idleFor: time.Duration(float64(idle) * idleShare), dialTimeout: dial, most: o.Conns, relay: o.Relay, pools: map[string]*pool{}}
+	if u.toldIdle != o.ConnIdle {
+		u.toldIdle, u.idleFor = o.ConnIdle, time.Duration(float64(o.ConnIdle)*idleShare)
+	}
+	u.dialTimeout, u.most = o.DialTimeout, o.Conns
+}
+
+// count tells how many endpoints may be sent to, how many not, and how many connections are open.
+func (u *upstream) count() (ready, draining, open int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, p := range u.pools {
+		if p.keep {
+			ready++
+		} else {
+			draining++
+		}
+	}
+	return ready, draining, u.open
 }
 
 // setMember says where an endpoint is and whether connections to it are worth keeping. Those to an old address, or
@@ -201,7 +227,10 @@
 	if c != nil || err != nil {
 		return c, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, u.dialTimeout)
+	u.mu.Lock()
+	dial := u.dialTimeout
+	u.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, dial)
 	defer cancel()
 	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 	if err == nil {
--- a/internal/front/plain/conns.go
+++ b/internal/front/plain/conns.go
@@ -26,8 +26,11 @@
 	net.Listener
 	most int
 
+	shedder *shedder // nil: what is accepted stays
+
 	mu   sync.Mutex
 	open map[*callerConn]bool
+	shed int // connections turned away
 }
 
 // NewConns keeps the connections that a listener accepts, closing idle ones where there are more than most.
@@ -35,6 +38,27 @@
 	return &Conns{Listener: l, most: most, open: map[*callerConn]bool{}}
 }
 
+// NewShedding is like NewConns, and turns away at once, with 503, what comes when most are open and none is idle.
+func NewShedding(l net.Listener, most int) *Conns {
+	c := NewConns(l, most)
+	c.shedder = newShedder()
+	return c
+}
+
+// Limit sets how many connections there may be before idle ones are closed.
+func (l *Conns) Limit(most int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.most = most
+}
+
+// Load tells how many connections are open, and how many were turned away so far.
+func (l *Conns) Load() (open, shed int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open), l.shed
+}
+
 // callerConn is a caller's connection. It knows whether anything was read since the last answer.
 type callerConn struct {
 	net.Conn
@@ -50,16 +74,30 @@
 
 // Accept implements net.Listener.
 func (l *Conns) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.take(nc); c != nil {
+			return c, nil
+		}
+		l.shedder.shed(nc)
 	}
+}
+
+// take counts a connection in, or gives nil if there is no place for it.
+func (l *Conns) take(nc net.Conn) *callerConn {
 	c := &callerConn{Conn: nc, all: l, unread: true, new: true, since: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open[c] = true
-	l.makeRoom()
-	return c, nil
+	if !l.makeRoom() && l.shedder != nil {
+		delete(l.open, c)
+		l.shed++
+		return nil
+	}
+	return c
 }
 
 // track follows a connection's state for http.Server.
@@ -78,10 +116,10 @@
 	}
 }
 
-// makeRoom retires the connection idle for longest if there are too many. l.mu is held.
-func (l *Conns) makeRoom() {
+// makeRoom retires the connection idle for longest if there are too many, and tells whether that was enough. l.mu is held.
+func (l *Conns) makeRoom() bool {
 	if len(l.open) <= l.most {
-		return
+		return true
 	}
 	var longest *callerConn
 	for c := range l.open {
@@ -92,6 +130,7 @@
 	if longest != nil {
 		longest.retire()
 	}
+	return longest != nil
 }
 
 // retire makes the read that waits for a request end, unless bytes come first. all.mu is held.
@@ -155,6 +194,9 @@
 	for l.retireIdle() > 0 {
 		time.Sleep(lookAround)
 	}
+	if l.shedder != nil {
+		l.shedder.wait()
+	}
 	return err
 }
 
--- a/internal/front/plain/server.go
+++ b/internal/front/plain/server.go
@@ -11,6 +11,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -51,11 +52,11 @@
 	Class    string // as the engine's settings name it
 	Effect   tuliprock.Effect
 	Tenant   string
-	Wait     time.Duration     // how long a caller waits who does not say so; 0: it must say so
-	MostWait time.Duration     // how long it is served at most; 0: as long as it waits
-	AnyForm  bool              // methods and bodies are as the desk has found them; else the class decides them
-	ID       string            // for a request that brings none; empty: it must bring one
-	Over     func(engine.Kind) // is told once how the visit ended; nil: nobody asks
+	Wait     time.Duration                   // how long a caller waits who does not say so; 0: it must say so
+	MostWait time.Duration                   // how long it is served at most; 0: as long as it waits
+	AnyForm  bool                            // methods and bodies are as the desk has found them; else the class decides them
+	ID       string                          // for a request that brings none; empty: it must bring one
+	Over     func(taken bool, k engine.Kind) // is told once whether an engine took the request, and its answer; nil: nobody asks
 }
 
 // Refusal is what a request is answered that nobody serves.
@@ -63,6 +64,7 @@
 	Status     int
 	Reason     string
 	RetryAfter time.Duration // 0: no advice
+	Allow      []string      // methods that would do
 	Close      bool          // ends the connection
 }
 
@@ -120,15 +122,16 @@
 		f.write(w)
 		return
 	}
-	kind := engine.Failed
+	taken, kind := false, engine.Failed
 	if v.Over != nil {
-		defer func() { v.Over(kind) }()
+		defer func() { v.Over(taken, kind) }()
 	}
 	c, f := s.read(r, &v, body, arrived)
 	if f != nil {
 		f.write(w)
 		return
 	}
+	taken = true
 	v.Engine.Take(c)
 	select {
 	case a := <-c.Reply():
@@ -149,6 +152,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	advise(w.Header(), f.RetryAfter)
+	if len(f.Allow) > 0 {
+		w.Header().Set("Allow", strings.Join(f.Allow, ", "))
+	}
 	http.Error(w, f.Reason, f.Status)
 }
 
