--- /dev/null
+++ b/cmd/rowancart/speed.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"tuliprock/internal/lab/speed"
+)
+
+func newSpeed() *cobra.Command {
+	o := speed.Options{}
+	cmd := &cobra.Command{
+		Use:   "speed",
+		Short: "Measure how fast the programs pass requests on, beside rivals in the same run",
+		Long: `Measure how fast the programs pass requests on, beside rivals in the same run: the platform's sidecar, the daemon,
+net/http/httputil's ReverseProxy in turns, and fasthttp's LBClient. Each is a process of its own before boxes that answer
+at once. Figures are medians over rounds; on a machine that others use, only their ratios mean something.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			var err error
+			if o.Self, err = os.Executable(); err != nil {
+				return err
+			}
+			if o.Folder, err = os.MkdirTemp("", "rowancart-speed"); err != nil {
+				return err
+			}
+			defer os.RemoveAll(o.Folder)
+			if o.Sidecar == "" {
+				root, err := repository()
+				if err != nil {
+					return err
+				}
+				o.Sidecar = filepath.Join(o.Folder, "tuliprock")
+				build := exec.CommandContext(cmd.Context(), "go", "build", "-o", o.Sidecar, "./cmd/tuliprock")
+				build.Dir, build.Stderr = root, cmd.ErrOrStderr()
+				if err := build.Run(); err != nil {
+					return err
+				}
+			}
+			results, err := speed.Run(cmd.Context(), o)
+			if err != nil {
+				return err
+			}
+			return speed.Text(cmd.OutOrStdout(), results)
+		},
+	}
+	f := cmd.Flags()
+	f.StringSliceVar(&o.Programs, "programs", speed.Programs, "what to compare")
+	f.IntVar(&o.Boxes, "boxes", 12, "boxes that answer at once")
+	f.IntVar(&o.Connections, "connections", 32, "connections of clients, each with one request at a time")
+	f.IntVar(&o.Body, "body", 0, "bytes that a request posts; 0: a GET")
+	f.IntVar(&o.Cores, "cores", 1, "cores of each program")
+	f.IntVar(&o.Rounds, "rounds", 5, "rounds in which each program has a turn, after one that warms up")
+	f.DurationVar(&o.Turn, "turn", time.Second, "time of a turn")
+	f.IntVar(&o.Idle, "idle", 0, "further connections of clients that send nothing")
+	f.StringVar(&o.Sidecar, "sidecar", "", "the platform's program (default: built from the repository around the working folder)")
+	return cmd
+}
+
+// newFast is the rival on fasthttp.
+func newFast() *cobra.Command {
+	return &cobra.Command{
+		Use:    "fasthttp LISTEN ENDPOINT...",
+		Short:  "Serve as the rival on fasthttp",
+		Hidden: true,
+		Args:   cobra.MinimumNArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return speed.ServeFast(cmd.Context(), args[0], args[1:])
+		},
+	}
+}
--- /dev/null
+++ b/internal/lab/speed/peers.go
@@ -0,0 +1,176 @@
+package speed
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	answerText = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 12\r\n\r\nhello, world"
+	peerBuffer = 16 << 10
+)
+
+// boxes answer every request at once with 12 bytes. They take well-formed requests for granted: the programs between are
+// what is measured, and boxes and clients must cost as little as they can.
+type boxes struct {
+	addrs     []string
+	listeners []net.Listener
+	all       sync.WaitGroup
+	mu        sync.Mutex
+	open      map[net.Conn]bool
+}
+
+func newBoxes(n int) (*boxes, error) {
+	b := &boxes{open: map[net.Conn]bool{}}
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.close()
+			return nil, err
+		}
+		b.addrs, b.listeners = append(b.addrs, l.Addr().String()), append(b.listeners, l)
+		b.all.Go(func() {
+			for {
+				nc, err := l.Accept()
+				if err != nil {
+					return
+				}
+				b.mu.Lock()
+				b.open[nc] = true
+				b.mu.Unlock()
+				b.all.Go(func() { b.serve(nc) })
+			}
+		})
+	}
+	return b, nil
+}
+
+func (b *boxes) serve(nc net.Conn) {
+	defer nc.Close()
+	in := bufio.NewReaderSize(nc, peerBuffer)
+	for {
+		if _, err := skip(in); err != nil {
+			return
+		}
+		if _, err := io.WriteString(nc, answerText); err != nil {
+			return
+		}
+	}
+}
+
+func (b *boxes) close() {
+	for _, l := range b.listeners {
+		l.Close()
+	}
+	b.mu.Lock()
+	for nc := range b.open {
+		nc.Close()
+	}
+	b.mu.Unlock()
+	b.all.Wait()
+}
+
+// skip reads one message with a Content-Length, and gives its first line.
+func skip(in *bufio.Reader) (first string, err error) {
+	length := 0
+	for {
+		line, err := in.ReadSlice('\n')
+		if err != nil {
+			return "", err
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if first == "" {
+			first = string(line)
+		}
+		if len(line) == 0 {
+			break
+		}
+		if name, value, ok := bytes.Cut(line, []byte(":")); ok && bytes.EqualFold(name, []byte("Content-Length")) {
+			if length, err = strconv.Atoi(string(bytes.TrimSpace(value))); err != nil {
+				return "", err
+			}
+		}
+	}
+	_, err = in.Discard(length)
+	return first, err
+}
+
+var serial atomic.Int64
+
+// client sends one request after the other over one connection, until the end.
+func client(ctx context.Context, addr string, body int, end time.Time, place int) (turn, error) {
+	t := turn{hist: newHist()}
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		return t, err
+	}
+	defer nc.Close()
+	if err := nc.SetDeadline(end.Add(10 * time.Second)); err != nil {
+		return t, err
+	}
+	in := bufio.NewReaderSize(nc, peerBuffer)
+	run, load := serial.Add(1), bytes.Repeat([]byte("x"), body)
+	for n := 0; ctx.Err() == nil && time.Now().Before(end); n++ {
+		text := fmt.Appendf(nil, "GET /get/%d HTTP/1.1\r\n", n)
+		if body > 0 {
+			text = fmt.Appendf(nil, "POST /post/%d HTTP/1.1\r\nContent-Length: %d\r\n", n, body)
+		}
+		text = fmt.Appendf(text, "Host: box\r\nReq-Id: r%d-%d-%d\r\nReq-Owner: speed\r\nReq-Deadline-Ms: 5000\r\n\r\n", run, place, n)
+		began := time.Now()
+		if _, err := nc.Write(append(text, load...)); err != nil {
+			return t, err
+		}
+		first, err := skip(in)
+		if err != nil {
+			return t, err
+		}
+		if first != "HTTP/1.1 200 OK" {
+			t.bad++
+			continue
+		}
+		if err := t.hist.RecordValue(time.Since(began).Microseconds()); err != nil {
+			return t, err
+		}
+	}
+	return t, nil
+}
+
+// ServeFast serves as the rival on fasthttp: a server and its LBClient, which sends to the endpoint with the fewest requests
+// out, until ctx ends.
+func ServeFast(ctx context.Context, listen string, endpoints []string) error {
+	var lb fasthttp.LBClient
+	for _, addr := range endpoints {
+		lb.Clients = append(lb.Clients, &fasthttp.HostClient{Addr: addr, MaxConns: 512, MaxIdleConnDuration: 27 * time.Second})
+	}
+	server := &fasthttp.Server{MaxRequestBodySize: 64 << 10, NoDefaultServerHeader: true, Handler: func(c *fasthttp.RequestCtx) {
+		if string(c.Path()) == "/_health" {
+			c.SetBodyString("ok\n")
+			return
+		}
+		c.Request.Header.Del("Connection")
+		if err := lb.DoTimeout(&c.Request, &c.Response, 5*time.Second); err != nil {
+			c.Error("failed", fasthttp.StatusBadGateway)
+		}
+	}}
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Shutdown() })
+	defer stop()
+	if err := server.Serve(l); err != nil && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/speed/speed.go
@@ -0,0 +1,362 @@
+// Package speed measures how fast the programs pass requests on, beside rivals in the same run: each is a process of its own
+// with so many cores, before the same boxes, under the same clients, in turns.
+package speed
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sync/errgroup"
+)
+
+// Options say what is measured.
+type Options struct {
+	Programs    []string // to compare: of Programs
+	Boxes       int      // that answer at once
+	Connections int      // of clients, each with one request at a time
+	Body        int      // bytes that a request posts; 0: a GET
+	Cores       int      // of each program
+	Rounds      int      // in which each program has a turn
+	Turn        time.Duration
+	Idle        int    // further connections of clients that send nothing
+	Self        string // this program, which serves as the daemon and as the rivals
+	Sidecar     string // the platform's program
+	Folder      string // for configurations and logs
+}
+
+// Programs are what can be compared.
+var Programs = []string{"tuliprock", "daemon", "reverse_proxy", "fasthttp"}
+
+// Result is what was measured of one program: medians over its turns.
+type Result struct {
+	Program  string
+	Rate     float64       // answers a second
+	CPU      time.Duration // the program's, for each answer
+	P50, P99 time.Duration
+	Failed   int   // of all requests
+	Memory   int64 // bytes resident at the most
+}
+
+// program is one that runs.
+type program struct {
+	name  string
+	addr  string
+	cmd   *exec.Cmd
+	ended chan error
+	turns []turn
+}
+
+type turn struct {
+	rate float64
+	cpu  time.Duration
+	hist *hdrhistogram.Histogram
+	bad  int
+}
+
+// Run measures.
+func Run(ctx context.Context, o Options) ([]Result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	boxes, err := newBoxes(o.Boxes)
+	if err != nil {
+		return nil, err
+	}
+	defer boxes.close()
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // a roster that has no news
+	if err != nil {
+		return nil, err
+	}
+	roster := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}), BaseContext: func(net.Listener) context.Context { return ctx }}
+	go func() { _ = roster.Serve(silent) }()
+	defer roster.Close()
+
+	var programs []*program
+	defer func() {
+		for _, p := range programs {
+			_ = p.cmd.Process.Kill()
+			<-p.ended
+		}
+	}()
+	for _, name := range o.Programs {
+		p, err := start(o, name, boxes.addrs, silent.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		programs = append(programs, p)
+		if err := p.ready(ctx); err != nil {
+			return nil, err
+		}
+	}
+	var idle []net.Conn
+	defer func() {
+		for _, nc := range idle {
+			nc.Close()
+		}
+	}()
+	for _, p := range programs {
+		for range o.Idle {
+			nc, err := net.Dial("tcp", p.addr)
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", p.name, err)
+			}
+			idle = append(idle, nc)
+			if _, err := fmt.Fprintf(nc, "GET /_health HTTP/1.1\r\nHost: box\r\n\r\n"); err != nil {
+				return nil, err
+			}
+		}
+	}
+	for round := range o.Rounds + 1 { // the first one warms up
+		for i := range programs {
+			p := programs[(i+round)%len(programs)]
+			t, err := p.measure(ctx, o)
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", p.name, err)
+			}
+			if round > 0 {
+				p.turns = append(p.turns, t)
+			}
+		}
+	}
+	var out []Result
+	for _, p := range programs {
+		out = append(out, p.result())
+	}
+	return out, nil
+}
+
+// result gives medians: a machine that others use, too, has bad moments.
+func (p *program) result() Result {
+	r := Result{Program: p.name, Memory: p.memory()}
+	median := func(of func(t turn) float64) float64 {
+		var all []float64
+		for _, t := range p.turns {
+			all = append(all, of(t))
+		}
+		slices.Sort(all)
+		return all[len(all)/2]
+	}
+	r.Rate = median(func(t turn) float64 { return t.rate })
+	r.CPU = time.Duration(median(func(t turn) float64 { return float64(t.cpu) }))
+	r.P50 = time.Duration(median(func(t turn) float64 { return float64(t.hist.ValueAtQuantile(50)) })) * time.Microsecond
+	r.P99 = time.Duration(median(func(t turn) float64 { return float64(t.hist.ValueAtQuantile(99)) })) * time.Microsecond
+	for _, t := range p.turns {
+		r.Failed += t.bad
+	}
+	return r
+}
+
+// Text prints results, with ratios to each rival.
+func Text(w io.Writer, results []Result) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	rate := map[string]float64{}
+	for _, r := range results {
+		rate[r.Program] = r.Rate
+	}
+	fmt.Fprintln(tw, "program\tanswers/s\tof reverse_proxy\tof fasthttp\tCPU us each\tp50 us\tp99 us\tfailed\tMiB\t")
+	ratio := func(a, b float64) string {
+		if b == 0 {
+			return "-"
+		}
+		return fmt.Sprintf("%.2f", a/b)
+	}
+	for _, r := range results {
+		fmt.Fprintf(tw, "%s\t%.0f\t%s\t%s\t%.1f\t%d\t%d\t%d\t%.0f\t\n", r.Program, r.Rate, ratio(r.Rate, rate["reverse_proxy"]),
+			ratio(r.Rate, rate["fasthttp"]), float64(r.CPU.Nanoseconds())/1000, r.P50.Microseconds(), r.P99.Microseconds(), r.Failed,
+			float64(r.Memory)/(1<<20))
+	}
+	return tw.Flush()
+}
+
+// start starts a program before the boxes.
+func start(o Options, name string, boxes []string, roster string) (*program, error) {
+	addr, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	p := &program{name: name, addr: addr, ended: make(chan error, 1)}
+	file := filepath.Join(o.Folder, name)
+	var args []string
+	env := append(os.Environ(), "GOMAXPROCS="+strconv.Itoa(o.Cores))
+	switch name {
+	case "tuliprock", "reverse_proxy":
+		file += ".json"
+		if err := os.WriteFile(file, sidecarConfig(o, addr, roster, boxes), 0o600); err != nil {
+			return nil, err
+		}
+		env = append(env, "ROUTER_CONFIG="+file)
+		if args = []string{o.Sidecar}; name == "reverse_proxy" {
+			args = []string{o.Self, "lab", "reverse-proxy"}
+		}
+	case "daemon":
+		file += ".hcl"
+		if err := os.WriteFile(file, daemonConfig(o, addr, boxes), 0o600); err != nil {
+			return nil, err
+		}
+		args = []string{o.Self, "serve", file}
+	case "fasthttp":
+		args = append([]string{o.Self, "lab", "fasthttp", addr}, boxes...)
+	default:
+		return nil, fmt.Errorf("program %q is none of %s", name, strings.Join(Programs, ", "))
+	}
+	log, err := os.Create(file + ".log")
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	p.cmd = exec.Command(args[0], args[1:]...)
+	p.cmd.Env, p.cmd.Stderr = env, log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go func() { p.ended <- p.cmd.Wait(); close(p.ended) }()
+	return p, nil
+}
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func sidecarConfig(o Options, addr, roster string, boxes []string) []byte {
+	type server struct {
+		ID    string `json:"id"`
+		Addr  string `json:"addr"`
+		Kind  string `json:"kind"`
+		State string `json:"state"`
+	}
+	var servers []server
+	for i, b := range boxes {
+		servers = append(servers, server{ID: "box-" + strconv.Itoa(i), Addr: b, Kind: "box", State: "Ready"})
+	}
+	text, _ := json.Marshal(map[string]any{ // of plain values: it cannot fail
+		"name": "speed", "listen": addr, "discovery": roster, "seed": "1",
+		"limits": map[string]any{"cores": o.Cores, "memory_mb": 192, "sockets": 4096 + 2*o.Idle},
+		"known":  map[string]any{"version": 1, "full": true, "servers": servers},
+		"settings": map[string]any{
+			"Lanes": []map[string]any{{"Name": "get", "Semantics": "read_like", "OnTimeUs": 1000000},
+				{"Name": "post", "Semantics": "non_idempotent", "OnTimeUs": 1000000}},
+			"Permissions": map[string]any{"ConnIdleUs": 30000000, "TryLimit": 3, "MayCancel": true}},
+	})
+	return text
+}
+
+func daemonConfig(o Options, addr string, boxes []string) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "listener \"front\" {\n  address = %q\n}\nlimits {\n  connections = %d\n}\n", addr, 1024+o.Idle)
+	b.WriteString("class \"get\" {\n  effect = \"safe\"\n}\nclass \"post\" {\n  effect = \"unsafe\"\n}\npool \"boxes\" {\n  connections = 2048\n" +
+		"  connection_idle = \"30s\"\n  roster \"static\" {\n")
+	for i, box := range boxes {
+		fmt.Fprintf(&b, "    endpoint \"box-%d\" {\n      address = %q\n      kind = \"box\"\n    }\n", i, box)
+	}
+	b.WriteString("  }\n}\n")
+	for _, class := range []string{"get", "post"} {
+		fmt.Fprintf(&b, "route %q {\n  path = \"/%s/*\"\n  class = %q\n  pool = \"boxes\"\n}\n", class, class, class)
+	}
+	return b.Bytes()
+}
+
+// ready waits until a program answers for its health.
+func (p *program) ready(ctx context.Context) error {
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		resp, err := http.Get("http://" + p.addr + "/_health")
+		if err == nil {
+			resp.Body.Close()
+			return nil
+		}
+		select {
+		case err := <-p.ended:
+			return fmt.Errorf("%s ended at once: %v", p.name, err)
+		case <-ctx.Done():
+			return ctx.Err()
+		default:
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%s does not answer: %w", p.name, err)
+		}
+	}
+}
+
+// usage gives the processor time that a program has used.
+func (p *program) usage() time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/schedstat", p.cmd.Process.Pid))
+	if err == nil && p.cmd.ProcessState == nil {
+		total := time.Duration(0)
+		tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.cmd.Process.Pid))
+		for _, task := range tasks {
+			if text, err = os.ReadFile(task); err == nil {
+				ns, _ := strconv.ParseInt(strings.Fields(string(text))[0], 10, 64)
+				total += time.Duration(ns)
+			}
+		}
+		return total
+	}
+	return 0
+}
+
+// memory gives the most bytes that a program had resident.
+func (p *program) memory() int64 {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kb, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			return kb << 10
+		}
+	}
+	return 0
+}
+
+// measure gives a program its turn.
+func (p *program) measure(ctx context.Context, o Options) (turn, error) {
+	var all errgroup.Group
+	began, used := time.Now(), p.usage()
+	end := began.Add(o.Turn)
+	results := make([]turn, o.Connections)
+	for i := range o.Connections {
+		all.Go(func() error {
+			var err error
+			results[i], err = client(ctx, p.addr, o.Body, end, i)
+			return err
+		})
+	}
+	if err := all.Wait(); err != nil {
+		return turn{}, err
+	}
+	out := turn{hist: newHist()}
+	for _, r := range results {
+		out.hist.Merge(r.hist)
+		out.bad += r.bad
+	}
+	answers := out.hist.TotalCount()
+	if answers == 0 {
+		return turn{}, errors.New("it answered nothing")
+	}
+	out.rate = float64(answers) / time.Since(began).Seconds()
+	out.cpu = (p.usage() - used) / time.Duration(answers)
+	return out, nil
+}
+
+func newHist() *hdrhistogram.Histogram { return hdrhistogram.New(1, 60_000_000, 3) }
