--- a/cmd/rowancart/serve.go
+++ b/cmd/rowancart/serve.go
@@ -24,6 +24,7 @@
 )
 
 const (
+	gcPercent   = 300 // the live heap is small: collect less often
 	heapShare   = 0.7 // of the memory limit that the heap may take before the collector works harder
 	adminWithin = 5 * time.Second
 )
@@ -43,6 +44,7 @@
 			defer signal.Stop(hup)
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
+			debug.SetGCPercent(gcPercent)
 			d, err := daemon.New(daemon.Options{Path: args[0], Getenv: os.LookupEnv, Log: slog.Default(), Applied: func(c *conf.Config) {
 				debug.SetMemoryLimit(int64(heapShare * float64(c.Limits.Memory)))
 			}})
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -62,7 +62,7 @@
 	d.reloading.Unlock()
 	slices.SortStableFunc(pools, func(x, y *pool) int { return strings.Compare(x.name, y.name) })
 	for _, p := range pools {
-		s.Pools = append(s.Pools, PoolStatus{Name: p.name, Ending: now.pools[p.name] != p, Stats: p.engine.Stats(ctx), Roster: p.fault()})
+		s.Pools = append(s.Pools, PoolStatus{Name: p.name, Ending: now.pools[p.name] != p, Stats: p.engine.Stats(), Roster: p.fault()})
 	}
 	d.mu.RLock()
 	defer d.mu.RUnlock()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -1,5 +1,6 @@
-// Package engine hosts one Balancer for one pool of endpoints: the goroutine that owns it, and the connections over which
-// it sends. Fronts hand it calls, rosters hand it members. It carries out what the module decides and decides nothing.
+// Package engine hosts one Balancer for one pool of endpoints: the lock under which it hears one event after the other, and
+// the connections over which it sends. Fronts hand it calls, rosters hand it members. It carries out what the module decides
+// and decides nothing.
 package engine
 
 import (
@@ -51,22 +52,30 @@
 type Call struct {
 	tuliprock.Request
 	message *Message
-	replies chan Reply // takes the one final answer without blocking
+	replies chan Reply    // takes the one final answer without blocking
+	work    chan *attempt // takes an attempt for the goroutine that waits in Do
+
+	// Engine.mu guards these:
+	over     bool // answered, or the caller has left
+	waits    bool // Do waits and can make an attempt by itself
+	attempts []*attempt
+	out      int // attempts out
+}
 
-	// The engine's own:
-	over    bool // answered, or the caller has left
-	cancels []context.CancelFunc
-	out     int // attempts out
+// attempt is one Send.
+type attempt struct {
+	leash
+	call     *Call
+	n        int
+	endpoint string
+	sent     time.Duration
 }
 
 // NewCall makes a call of a request, as the module is to see it, and of the message that endpoints are to get.
 func NewCall(r tuliprock.Request, m *Message) *Call {
-	return &Call{Request: r, message: m, replies: make(chan Reply, 1)}
+	return &Call{Request: r, message: m, replies: make(chan Reply, 1), work: make(chan *attempt, 1)}
 }
 
-// Reply gives the one final answer.
-func (c *Call) Reply() <-chan Reply { return c.replies }
-
 // Member is an endpoint as a roster lists it.
 type Member struct {
 	ID, Addr, Zone, Kind string
@@ -91,30 +100,36 @@
 	Log         *slog.Logger
 }
 
-// Engine owns a Balancer. All that happens is posted to it and handled in turn by its one goroutine.
+// Engine owns a Balancer. All that happens is handled in turn under its lock, by the goroutine to which it happens: no
+// request waits for another goroutine to wake up.
 type Engine struct {
 	clock    clock
-	balancer tuliprock.Events
-	settle   func(now time.Duration, s tuliprock.Settings)
-	events   chan func(now time.Duration)
 	done     chan struct{}
 	upstream *upstream
 	ask      func()
 	log      *slog.Logger
 
-	calls   map[string]*Call
-	taken   recent // ids of requests, answered ones included
-	members map[string]bool
-	timers  []time.Duration           // sorted
-	later   []func(now time.Duration) // events that arose within a Host method
+	mu       sync.Mutex // guards the rest
+	balancer tuliprock.Events
+	settle   func(now time.Duration, s tuliprock.Settings)
+	mayCall  bool // attempts can be called off: then the goroutine in Do may make them, and is free again when the answer is due
+	alarm    *time.Timer
+	rings    time.Duration // when the alarm is set to
+	ended    bool
+	calls    map[string]*Call
+	taken    recent // ids of requests, answered ones included
+	members  map[string]bool
+	timers   []time.Duration           // sorted
+	later    []func(now time.Duration) // events that arose within a Host method
 }
 
 // New returns an engine that knows the members given, the first that the module hears of. Run does the work.
 func New(s tuliprock.Settings, known Members, o Options) *Engine {
-	l := &Engine{clock: clock{time.Now()}, events: make(chan func(time.Duration), 256), done: make(chan struct{}),
-		upstream: newUpstream(o), ask: o.Subscribe, log: o.Log, calls: map[string]*Call{}, members: map[string]bool{}}
+	l := &Engine{clock: clock{time.Now()}, done: make(chan struct{}), mayCall: s.MayCancel, upstream: newUpstream(o), ask: o.Subscribe, log: o.Log, calls: map[string]*Call{}, members: map[string]bool{}}
 	b := tuliprock.New(l.clock.now(), s, host{l})
 	l.balancer, l.settle = b, b.Configure
+	l.alarm = time.AfterFunc(time.Hour, func() { l.post(l.ring) })
+	l.rings = l.clock.now() + time.Hour
 	l.list(l.clock.now(), known)
 	return l
 }
@@ -122,14 +137,52 @@
 // Now is the instant by the clock that the module's instants are of.
 func (l *Engine) Now() time.Duration { return l.clock.now() }
 
-// Done is closed when the engine has ended: no reply comes any more.
-func (l *Engine) Done() <-chan struct{} { return l.done }
+// Do serves a call and gives the one final answer. When ctx ends, the caller has left and no answer is owed any more: it
+// gives Failed then, as it does when the engine has ended.
+func (l *Engine) Do(ctx context.Context, c *Call) Reply {
+	stop := context.AfterFunc(ctx, func() { l.post(func(now time.Duration) { l.leave(now, c) }) })
+	defer stop()
+	l.post(func(now time.Duration) { l.start(now, c) })
+	for {
+		select {
+		case r := <-c.replies: // an answer comes before any more work
+			return r
+		default:
+		}
+		select {
+		case r := <-c.replies:
+			return r
+		case a := <-c.work:
+			l.make(a, true)
+		case <-ctx.Done():
+			l.rest(c)
+			return Reply{Kind: Failed}
+		case <-l.done:
+			return Reply{Kind: Failed}
+		}
+	}
+}
 
-// Take hands over a call. Its one reply comes on Call.Reply.
-func (l *Engine) Take(c *Call) { l.post(func(now time.Duration) { l.start(now, c) }) }
+// rest sees to an attempt that was handed over while its caller left.
+func (l *Engine) rest(c *Call) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.waits = false
+	select {
+	case a := <-c.work:
+		go l.make(a, false)
+	default:
+	}
+}
 
-// Leave reports that the caller has gone: no answer is owed any more.
-func (l *Engine) Leave(c *Call) { l.post(func(now time.Duration) { l.leave(now, c) }) }
+// make makes an attempt and reports how it ended. Inline tells that the goroutine in Do does so, and can make the next one.
+func (l *Engine) make(a *attempt, inline bool) {
+	result, answer := l.upstream.attempt(&a.leash, a.endpoint, a.call.message)
+	l.post(func(now time.Duration) {
+		a.call.waits = a.call.waits || inline && l.mayCall
+		l.report(now, a, result, answer)
+	})
+}
 
 // Heard reports what a roster says.
 func (l *Engine) Heard(m Members) { l.post(func(now time.Duration) { l.list(now, m) }) }
@@ -143,7 +196,10 @@
 // kept, and calls that were taken before keep the classes that they came with (tuliprock.Balancer.Configure).
 func (l *Engine) Configure(s tuliprock.Settings, o Options) {
 	l.upstream.configure(o)
-	l.post(func(now time.Duration) { l.settle(now, s) })
+	l.post(func(now time.Duration) {
+		l.mayCall = s.MayCancel
+		l.settle(now, s)
+	})
 }
 
 // Stats is what an engine holds at a moment.
@@ -154,56 +210,36 @@
 	Connections int `json:"connections"` // open to endpoints, idle ones included
 }
 
-// Stats asks the loop, and gives nothing once ctx or the engine has ended.
-func (l *Engine) Stats(ctx context.Context) Stats {
-	out := make(chan Stats, 1)
-	l.post(func(time.Duration) {
-		s := Stats{Calls: len(l.calls)}
-		s.Ready, s.Draining, s.Connections = l.upstream.count()
-		out <- s
-	})
-	select {
-	case s := <-out:
-		return s
-	case <-ctx.Done():
-	case <-l.done:
-	}
-	return Stats{}
+// Stats tells what the engine holds.
+func (l *Engine) Stats() Stats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := Stats{Calls: len(l.calls)}
+	s.Ready, s.Draining, s.Connections = l.upstream.count()
+	return s
 }
 
-// Run works until ctx ends.
+// Run works until ctx ends. Calls that have no answer by then get Failed.
 func (l *Engine) Run(ctx context.Context) {
-	var parts sync.WaitGroup
-	defer parts.Wait()
-	parts.Go(func() { l.upstream.run(ctx) })
-	l.run(ctx)
+	l.upstream.run(ctx)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended = true
+	l.alarm.Stop()
+	close(l.done)
 }
 
-// post hands an event to the loop. It must not be called from within the loop.
+// post handles an event. It must not be called from within another.
 func (l *Engine) post(event func(now time.Duration)) {
-	select {
-	case l.events <- event:
-	case <-l.done:
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		return
 	}
-}
-
-// run handles events until ctx ends.
-func (l *Engine) run(ctx context.Context) {
-	defer close(l.done)
-	alarm := time.NewTimer(time.Hour)
-	defer alarm.Stop()
-	for {
-		if len(l.timers) > 0 {
-			alarm.Reset(l.timers[0] - l.clock.now())
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case event := <-l.events:
-			l.handle(event)
-		case <-alarm.C:
-			l.handle(l.ring)
-		}
+	l.handle(event)
+	if now := l.clock.now(); len(l.timers) > 0 && (l.timers[0] < l.rings || l.rings <= now) {
+		l.rings = l.timers[0]
+		l.alarm.Reset(l.rings - now)
 	}
 }
 
@@ -234,6 +270,7 @@
 		return
 	}
 	l.calls[c.ID] = c
+	c.waits = l.mayCall
 	l.balancer.Request(now, c.Request)
 }
 
@@ -263,13 +300,14 @@
 	}
 }
 
-// ended reports the end of an attempt. A whole answer is passed on at once; one that comes too late is dropped.
-func (l *Engine) ended(now time.Duration, c *Call, o tuliprock.Outcome, sent time.Duration, a Answer) {
+// report tells the module how an attempt ended. A whole answer is passed on at once; one that comes too late is dropped.
+func (l *Engine) report(now time.Duration, a *attempt, r tuliprock.Result, answer Answer) {
+	c := a.call
 	c.out--
-	o.Took, o.Final = now-sent, c.over
-	if o.Result == tuliprock.OK && !c.over {
+	o := tuliprock.Outcome{ID: c.ID, Attempt: a.n, Endpoint: a.endpoint, Result: r, Took: now - a.sent, Final: c.over}
+	if r == tuliprock.OK && !c.over {
 		o.Final = true
-		l.finish(c, Reply{Kind: Served, Answer: a})
+		l.finish(c, Reply{Kind: Served, Answer: answer})
 	}
 	l.balancer.Outcome(now, o)
 	l.forget(c)
@@ -305,8 +343,7 @@
 	l.upstream.removeMember(id)
 }
 
-// host carries out what the Balancer asks for. It runs on the loop's goroutine, blocks on nothing and does not call
-// back.
+// host carries out what the Balancer asks for. It runs under the engine's lock, blocks on nothing and does not call back.
 type host struct{ *Engine }
 
 var _ tuliprock.Host = host{}
@@ -317,28 +354,26 @@
 	if c == nil {
 		return // not a request of ours: nothing to report either
 	}
-	o := tuliprock.Outcome{ID: id, Attempt: len(c.cancels), Endpoint: endpoint}
-	sent := h.clock.now()
-	ctx, cancel := context.WithTimeout(context.Background(), min(timeout, c.Deadline-sent))
-	c.cancels = append(c.cancels, cancel)
+	now := h.clock.now()
+	a := &attempt{call: c, n: len(c.attempts), endpoint: endpoint, sent: now}
+	a.deadline = time.Now().Add(min(timeout, c.Deadline-now))
+	c.attempts = append(c.attempts, a)
 	c.out++
-	if c.over {
-		o.Result = tuliprock.NotSent
-		h.later = append(h.later, func(now time.Duration) { h.ended(now, c, o, sent, Answer{}) })
-		return
+	switch {
+	case c.over:
+		h.later = append(h.later, func(now time.Duration) { h.report(now, a, tuliprock.NotSent, Answer{}) })
+	case c.waits:
+		c.waits = false
+		c.work <- a
+	default: // a copy beside the first attempt, or one that cannot be called off and must not hold up the answer
+		go h.make(a, false)
 	}
-	go func() {
-		var a Answer
-		o.Result, a = h.upstream.attempt(ctx, endpoint, c.message)
-		cancel()
-		h.post(func(now time.Duration) { h.ended(now, c, o, sent, a) })
-	}()
 }
 
 // Cancel implements tuliprock.Host.
 func (h host) Cancel(id string, n int) {
-	if c := h.calls[id]; c != nil && n >= 0 && n < len(c.cancels) {
-		c.cancels[n]()
+	if c := h.calls[id]; c != nil && n >= 0 && n < len(c.attempts) {
+		c.attempts[n].cancel()
 	}
 }
 
--- a/internal/engine/upstream.go
+++ b/internal/engine/upstream.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"sync"
 	"syscall"
@@ -41,6 +42,9 @@
 	Host   string
 	Header http.Header // end to end; the deadline is set for each attempt
 	Body   []byte
+
+	once sync.Once // for what endpoints get of it
+	text []byte
 }
 
 // Answer is an endpoint's whole answer.
@@ -77,6 +81,7 @@
 	raw    syscall.RawConn
 	limit  *io.LimitedReader // bounds what one answer may bring
 	read   *bufio.Reader
+	out    []byte // what is being written
 	pool   *pool
 	addr   string
 	idleAt time.Time
@@ -221,23 +226,73 @@
 	return err == nil && quiet
 }
 
+// leash ends an attempt from outside: at its deadline, or when it is called off.
+type leash struct {
+	deadline time.Time
+
+	mu     sync.Mutex
+	called bool      // off
+	ends   io.Closer // what is under way: a dial, or an exchange on a connection
+}
+
+// cancel calls the attempt off. What is under way ends at once.
+func (l *leash) cancel() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.called = true
+	if l.ends != nil {
+		l.ends.Close()
+	}
+}
+
+// hold says what is under way, nil for nothing any more, and tells whether the attempt goes on.
+func (l *leash) hold(c io.Closer) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ends = c
+	return !l.called
+}
+
+func (l *leash) canceled() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.called
+}
+
+// unlessCanceled is r, or Canceled if the attempt was called off.
+func (l *leash) unlessCanceled(r tuliprock.Result) tuliprock.Result {
+	if l.canceled() {
+		return tuliprock.Canceled
+	}
+	return r
+}
+
+// dial is a connection that is being made. To close it is to call it off.
+type dial struct{ context.CancelFunc }
+
+// Close implements io.Closer.
+func (d dial) Close() error { d.CancelFunc(); return nil }
+
 // take returns an idle connection to the endpoint, or else dials one.
-func (u *upstream) take(ctx context.Context, id string) (*conn, error) {
-	p, addr, c, err := u.reserve(id)
+func (u *upstream) take(l *leash, id string) (*conn, error) {
+	p, addr, within, c, err := u.reserve(id)
 	if c != nil || err != nil {
 		return c, err
 	}
-	u.mu.Lock()
-	dial := u.dialTimeout
-	u.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, dial)
+	ctx, cancel := context.WithDeadline(context.Background(), l.deadline)
 	defer cancel()
-	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
-	if err == nil {
-		if c, err = newConn(nc, p, addr); err == nil {
-			return c, nil
+	ctx, cancelDial := context.WithTimeout(ctx, within)
+	defer cancelDial()
+	if l.hold(dial{cancelDial}) {
+		var nc net.Conn
+		if nc, err = (&net.Dialer{}).DialContext(ctx, "tcp", addr); err == nil {
+			if c, err = newConn(nc, p, addr); err == nil {
+				return c, nil
+			}
+			nc.Close()
 		}
-		nc.Close()
+	} else {
+		err = context.Canceled
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -258,13 +313,13 @@
 // in use. That is no failure of the endpoint's and must not be reported as one.
 var errNotTried = errors.New("no connection could be tried")
 
-// reserve takes the idle connection used last, or the right to open one to the address returned.
-func (u *upstream) reserve(id string) (*pool, string, *conn, error) {
+// reserve takes the idle connection used last, or the right to open one to the address returned, within the time returned.
+func (u *upstream) reserve(id string) (p *pool, addr string, within time.Duration, c *conn, err error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	p := u.pools[id]
+	p = u.pools[id]
 	if p == nil {
-		return nil, "", nil, errNotTried
+		return nil, "", 0, nil, errNotTried
 	}
 	for len(p.idle) > 0 {
 		last := len(p.idle) - 1
@@ -272,15 +327,15 @@
 		p.idle[last] = nil
 		p.idle = p.idle[:last]
 		if u.usable(c, time.Now()) {
-			return p, p.addr, c, nil
+			return p, p.addr, 0, c, nil
 		}
 		u.closeLocked(c)
 	}
 	if u.open >= u.most && !u.evict() {
-		return nil, "", nil, errNotTried
+		return nil, "", 0, nil, errNotTried
 	}
 	u.open++
-	return p, p.addr, nil, nil
+	return p, p.addr, u.dialTimeout, nil, nil
 }
 
 // evict closes the connection that has been idle longest, wherever it leads. u.mu is held.
@@ -311,19 +366,22 @@
 	c.pool.idle = append(c.pool.idle, c)
 }
 
-// attempt sends a request once and tells by evidence how that ended. When ctx ends, the connection is closed before
-// attempt returns: no second attempt can be out beside this one.
-func (u *upstream) attempt(ctx context.Context, id string, m *Message) (tuliprock.Result, Answer) {
-	c, err := u.take(ctx, id)
+// attempt sends a request once and tells by evidence how that ended. When it was called off or its time is over, the
+// connection is closed before attempt returns: no second attempt can be out beside this one.
+func (u *upstream) attempt(l *leash, id string, m *Message) (tuliprock.Result, Answer) {
+	c, err := u.take(l, id)
 	if errors.Is(err, errNotTried) {
 		return tuliprock.NotSent, Answer{}
 	}
 	if err != nil {
-		return unlessCanceled(ctx, tuliprock.ConnectFailed), Answer{}
+		return l.unlessCanceled(tuliprock.ConnectFailed), Answer{}
+	}
+	if !l.hold(c) || c.SetDeadline(l.deadline) != nil {
+		u.discard(c)
+		return l.unlessCanceled(tuliprock.ConnectFailed), Answer{}
 	}
-	stop := context.AfterFunc(ctx, func() { c.Close() })
-	result, a, reusable := c.exchange(ctx, m, u.relay)
-	if stop() && reusable {
+	result, a, reusable := c.exchange(l, m, u.relay)
+	if l.hold(nil) && reusable {
 		u.giveBack(c)
 	} else {
 		u.discard(c)
@@ -331,35 +389,23 @@
 	return result, a
 }
 
-// unlessCanceled is r, or Canceled if the attempt was called off.
-func unlessCanceled(ctx context.Context, r tuliprock.Result) tuliprock.Result {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return tuliprock.Canceled
-	}
-	return r
-}
-
 // broken is the outcome of an attempt whose last byte was written and whose whole answer has not come.
-func broken(ctx context.Context) tuliprock.Result {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return tuliprock.TimedOut
+func (l *leash) broken(err error) tuliprock.Result {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return l.unlessCanceled(tuliprock.TimedOut)
 	}
-	return unlessCanceled(ctx, tuliprock.Reset)
+	return l.unlessCanceled(tuliprock.Reset)
 }
 
 // exchange writes the request and reads the whole answer.
-func (c *conn) exchange(ctx context.Context, m *Message, relay bool) (r tuliprock.Result, a Answer, reusable bool) {
-	text, err := m.bytes(ctx)
-	if err != nil {
-		return tuliprock.NotSent, Answer{}, false
-	}
+func (c *conn) exchange(l *leash, m *Message, relay bool) (r tuliprock.Result, a Answer, reusable bool) {
 	// An endpoint begins a request when its last byte has come: one not written whole has not run.
-	if n, _ := c.Write(text); n < len(text) {
-		return unlessCanceled(ctx, tuliprock.ConnectFailed), Answer{}, false
+	if !c.send(m, l.deadline) {
+		return l.unlessCanceled(tuliprock.ConnectFailed), Answer{}, false
 	}
 	resp, body, err := c.readAnswer(m.Method)
 	if err != nil {
-		return broken(ctx), Answer{}, false
+		return l.broken(err), Answer{}, false
 	}
 	reusable = !resp.Close && c.read.Buffered() == 0
 	switch {
@@ -368,7 +414,7 @@
 		if relay {
 			header = EndToEnd(resp.Header)
 		} else if v := resp.Header.Get("Content-Type"); v != "" {
-			header.Set("Content-Type", v)
+			header["Content-Type"] = []string{v}
 		}
 		return tuliprock.OK, Answer{resp.StatusCode, header, body}, reusable
 	case isUnavailable(resp.StatusCode) && resp.Header.Get(declined) == "1":
@@ -381,11 +427,14 @@
 	return status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout
 }
 
+// asked tells net/http whether an answer is one to HEAD, which has no body.
+var asked = map[bool]*http.Request{true: {Method: http.MethodHead}, false: {Method: http.MethodGet}}
+
 // readAnswer reads an answer whole. One without a length could end early unseen and is not taken for whole.
 func (c *conn) readAnswer(method string) (*http.Response, []byte, error) {
 	c.limit.N = MaxHead + MaxBody
 	for range maxInterim {
-		resp, err := http.ReadResponse(c.read, &http.Request{Method: method})
+		resp, err := http.ReadResponse(c.read, asked[method == http.MethodHead])
 		if err != nil {
 			return nil, nil, err
 		}
@@ -396,26 +445,65 @@
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, nil, errors.New("an answer of unknown length")
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
-		if err == nil && len(body) > MaxBody {
-			err = errors.New("the answer is too long")
-		}
+		body, err := readBody(resp)
 		return resp, body, err
 	}
 	return nil, nil, errors.New("too many interim answers")
 }
 
-// bytes is the request as written to an endpoint. Its deadline says how long this sidecar waits.
-func (m *Message) bytes(ctx context.Context) ([]byte, error) {
-	header := m.Header.Clone()
-	if at, ok := ctx.Deadline(); ok {
-		header.Set(DeadlineHeader, strconv.FormatInt(max(time.Until(at).Milliseconds(), 1), 10))
+var errTooLong = errors.New("the answer is too long")
+
+// readBody reads a body whole.
+func readBody(resp *http.Response) ([]byte, error) {
+	switch n := resp.ContentLength; {
+	case n > MaxBody:
+		return nil, errTooLong
+	case n > 0 && resp.Request.Method != http.MethodHead:
+		body := make([]byte, n)
+		if _, err := io.ReadFull(resp.Body, body); err != nil {
+			return nil, err
+		}
+		return body, nil
 	}
-	r := &http.Request{Method: m.Method, URL: m.URL, Host: m.Host, Header: header, ContentLength: int64(len(m.Body))}
-	if len(m.Body) > 0 {
-		r.Body = io.NopCloser(bytes.NewReader(m.Body))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
+	if err == nil && len(body) > MaxBody {
+		err = errTooLong
 	}
-	var text bytes.Buffer
-	err := r.Write(&text)
-	return text.Bytes(), err
+	return body, err
+}
+
+// notOurs are the headers that are written for each attempt, or never.
+var notOurs = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true, DeadlineHeader: true}
+
+// head is the request's head as every endpoint gets it, but for the deadline at its end.
+func (m *Message) head() []byte {
+	m.once.Do(func() {
+		var b bytes.Buffer
+		b.WriteString(m.Method + " " + m.URL.RequestURI() + " HTTP/1.1\r\nHost: " + m.Host + "\r\n")
+		_ = m.Header.WriteSubset(&b, notOurs) // a Buffer takes all
+		if len(m.Body) > 0 || m.Method == http.MethodPost || m.Method == http.MethodPut || m.Method == http.MethodPatch {
+			b.WriteString("Content-Length: " + strconv.Itoa(len(m.Body)) + "\r\n")
+		}
+		b.WriteString(DeadlineHeader + ": ")
+		m.text = b.Bytes()
+	})
+	return m.text
+}
+
+const smallBody = 4 << 10 // that is copied behind its head, so that both go in one write
+
+// send writes a request and tells whether all of it was written. Its deadline says how long this side waits.
+func (c *conn) send(m *Message, deadline time.Time) bool {
+	c.out = append(c.out[:0], m.head()...)
+	c.out = strconv.AppendInt(c.out, max(time.Until(deadline).Milliseconds(), 1), 10)
+	c.out = append(c.out, "\r\n\r\n"...)
+	if len(m.Body) <= smallBody {
+		c.out = append(c.out, m.Body...)
+		n, _ := c.Write(c.out)
+		return n == len(c.out)
+	}
+	whole := int64(len(c.out) + len(m.Body))
+	both := net.Buffers{c.out, m.Body}
+	n, _ := both.WriteTo(c.Conn)
+	return n == whole
 }
--- a/internal/engine/upstream_test.go
+++ b/internal/engine/upstream_test.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -27,12 +26,7 @@
 	return &Message{Method: http.MethodGet, URL: &url.URL{Path: path}, Host: "api.internal", Header: http.Header{"Req-Id": {"r1"}}}
 }
 
-func ctxFor(t *testing.T, d time.Duration) context.Context {
-	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), d)
-	t.Cleanup(cancel)
-	return ctx
-}
+func within(d time.Duration) *leash { return &leash{deadline: time.Now().Add(d)} }
 
 func TestAnAnswerTellsTheOutcome(t *testing.T) {
 	head := "HTTP/1.1 200 OK\r\nContent-Length: "
@@ -60,7 +54,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := newEndpoint(t, says(row.says, row.stay))
-			result, a := testUpstream(t, e.Addr).attempt(ctxFor(t, patience), "a", get("/c"))
+			result, a := testUpstream(t, e.Addr).attempt(within(patience), "a", get("/c"))
 			if result != row.want {
 				t.Errorf("outcome %v, want %v", result, row.want)
 			}
@@ -78,12 +72,12 @@
 	e := newEndpoint(t, says(served, true))
 	u := testUpstream(t, e.Addr)
 	u.dialTimeout = time.Nanosecond
-	if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.ConnectFailed {
+	if r, _ := u.attempt(within(patience), "a", get("/c")); r != tuliprock.ConnectFailed {
 		t.Errorf("never up: %v", r)
 	}
 	e.Listener.Close()
 	u.dialTimeout = patience
-	if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.ConnectFailed {
+	if r, _ := u.attempt(within(patience), "a", get("/c")); r != tuliprock.ConnectFailed {
 		t.Errorf("refused: %v", r)
 	}
 	if u.open != 0 {
@@ -104,18 +98,18 @@
 	u.most = 1
 	first := make(chan tuliprock.Result)
 	go func() {
-		r, _ := u.attempt(ctxFor(t, patience), "a", get("/c"))
+		r, _ := u.attempt(within(patience), "a", get("/c"))
 		first <- r
 	}()
 	<-came
-	if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.NotSent {
+	if r, _ := u.attempt(within(patience), "a", get("/c")); r != tuliprock.NotSent {
 		t.Errorf("all descriptors in use: %v", r)
 	}
 	close(release)
 	if r := <-first; r != tuliprock.OK {
 		t.Errorf("the one that had the descriptor: %v", r)
 	}
-	if r, _ := u.attempt(ctxFor(t, patience), "unlisted", get("/c")); r != tuliprock.NotSent {
+	if r, _ := u.attempt(within(patience), "unlisted", get("/c")); r != tuliprock.NotSent {
 		t.Errorf("no address: %v", r)
 	}
 }
@@ -136,7 +130,7 @@
 	}()
 	m := get("/c")
 	m.Method, m.Body = http.MethodPost, make([]byte, 64<<20) // more than socket buffers hold
-	if r, _ := testUpstream(t, l.Addr().String()).attempt(ctxFor(t, patience), "a", m); r != tuliprock.ConnectFailed {
+	if r, _ := testUpstream(t, l.Addr().String()).attempt(within(patience), "a", m); r != tuliprock.ConnectFailed {
 		t.Errorf("outcome %v", r)
 	}
 }
@@ -152,14 +146,13 @@
 			return false
 		})
 		u := testUpstream(t, e.Addr)
-		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		l := within(patience)
 		if want == tuliprock.TimedOut {
-			ctx, cancel = context.WithTimeout(context.Background(), 300*time.Millisecond)
+			l = within(300 * time.Millisecond)
 		} else {
-			go func() { <-came; cancel() }()
+			go func() { <-came; l.cancel() }()
 		}
-		r, _ := u.attempt(ctx, "a", get("/c"))
-		cancel()
+		r, _ := u.attempt(l, "a", get("/c"))
 		if r != want {
 			t.Errorf("outcome %v, want %v", r, want)
 		}
@@ -186,10 +179,10 @@
 		m := get("/c")
 		m.Method = method
 		m.Header.Set("Idempotency-Key", "k")
-		if r, _ := u.attempt(ctxFor(t, patience), "a", m); r != tuliprock.OK {
+		if r, _ := u.attempt(within(patience), "a", m); r != tuliprock.OK {
 			t.Fatalf("first: %v", r)
 		}
-		if r, _ := u.attempt(ctxFor(t, patience), "a", m); r != tuliprock.Reset {
+		if r, _ := u.attempt(within(patience), "a", m); r != tuliprock.Reset {
 			t.Errorf("%s on a connection that broke: %v", method, r)
 		}
 		if n, c := e.Requests.Load(), e.Connections.Load(); n != 2 || c != 1 {
@@ -210,12 +203,12 @@
 			return n > 1
 		})
 		u := testUpstream(t, e.Addr)
-		if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.OK {
+		if r, _ := u.attempt(within(patience), "a", get("/c")); r != tuliprock.OK {
 			t.Fatalf("%s: first: %v", name, r)
 		}
 		answered <- true
 		until(t, name, func() bool { idle := u.pools["a"].idle; return len(idle) == 0 || !idle[0].quiet() })
-		if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.OK {
+		if r, _ := u.attempt(within(patience), "a", get("/c")); r != tuliprock.OK {
 			t.Errorf("%s: second: %v", name, r)
 		}
 		if c := e.Connections.Load(); c != 2 {
@@ -230,7 +223,7 @@
 	u := testUpstream(t, e.Addr)
 	try := func(want int32) {
 		t.Helper()
-		if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.OK {
+		if r, _ := u.attempt(within(patience), "a", get("/c")); r != tuliprock.OK {
 			t.Fatalf("outcome %v", r)
 		}
 		if c := e.Connections.Load(); c != want {
@@ -266,7 +259,7 @@
 	u := testUpstream(t, e.Addr)
 	send := func() {
 		t.Helper()
-		if r, _ := u.attempt(ctxFor(t, patience), "a", get("/c")); r != tuliprock.OK {
+		if r, _ := u.attempt(within(patience), "a", get("/c")); r != tuliprock.OK {
 			t.Fatal(r)
 		}
 	}
@@ -293,7 +286,7 @@
 	u := testUpstream(t, e.Addr, f.Addr)
 	u.most = 1
 	for _, id := range []string{"a", "b", "a"} {
-		if r, _ := u.attempt(ctxFor(t, patience), id, get("/c")); r != tuliprock.OK {
+		if r, _ := u.attempt(within(patience), id, get("/c")); r != tuliprock.OK {
 			t.Errorf("%s: %v", id, r)
 		}
 		if u.open != 1 {
--- a/internal/front/plain/server.go
+++ b/internal/front/plain/server.go
@@ -132,17 +132,9 @@
 		return
 	}
 	taken = true
-	v.Engine.Take(c)
-	select {
-	case a := <-c.Reply():
-		kind = a.Kind
-		write(w, a)
-	case <-r.Context().Done():
-		v.Engine.Leave(c)
-		write(w, engine.Reply{Kind: engine.Failed}) // net/http would answer 200 for us, and one half-closed may still read
-	case <-v.Engine.Done():
-		write(w, engine.Reply{Kind: engine.Failed})
-	}
+	a := v.Engine.Do(r.Context(), c)
+	kind = a.Kind
+	write(w, a) // also where the caller has left: net/http would answer 200 for us, and one half-closed may still read
 }
 
 // write answers a request that nobody serves. What is no proper request ends its connection: whatever follows on it, the
