--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -72,7 +72,6 @@
 	address string
 	conns   *plain.Conns
 	front   *plain.Server
-	server  *http.Server
 	daemon  *Daemon
 	last    *generation // set once the configuration has no such listener: what its connections are served by until they end
 }
@@ -151,7 +150,6 @@
 		}
 		l := &listener{name: want.Name, address: want.Address, conns: plain.NewShedding(nl, c.Limits.Connections/len(c.Listeners)), daemon: d}
 		l.front = plain.New(l, want.Address, d.log)
-		l.server = l.front.HTTP(l.conns)
 		opened = append(opened, l)
 	}
 	return opened, nil
@@ -260,13 +258,10 @@
 	case <-over.C:
 		d.log.Error("stopped with connections open: the time for it is over")
 		for _, l := range listeners {
-			l.server.Close()
+			l.conns.Abort()
 		}
 		<-finished
 	}
-	for _, l := range listeners {
-		l.server.Close()
-	}
 	stop()
 	if d.admin != nil {
 		d.admin.Close()
@@ -285,7 +280,7 @@
 // second, and goes on.
 func (d *Daemon) startListener(l *listener) {
 	d.parts.Go(func() error {
-		err := ignoreClosed(l.server.Serve(l.conns))
+		err := ignoreClosed(l.front.Serve(l.conns))
 		if err != nil {
 			d.log.Error("a listener has ended", "addr", l.address, "err", err)
 		}
--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -168,7 +168,6 @@
 	l.front.End()
 	d.parts.Go(func() error {
 		err := ignoreClosed(l.conns.Finish())
-		l.server.Close()
 		d.mu.Lock()
 		d.listeners = slices.DeleteFunc(d.listeners, func(o *listener) bool { return o == l })
 		d.mu.Unlock()
--- a/internal/front/plain/conns.go
+++ b/internal/front/plain/conns.go
@@ -26,7 +26,11 @@
 	net.Listener
 	most int
 
-	shedder *shedder // nil: what is accepted stays
+	shedder *shedder      // nil: what is accepted stays
+	places  chan struct{} // nil: any number; else one is taken for each connection that is open
+	ended   chan struct{} // closed with the listener
+
+	end sync.Once // closes ended
 
 	mu   sync.Mutex
 	open map[*callerConn]bool
@@ -35,7 +39,15 @@
 
 // NewConns keeps the connections that a listener accepts, closing idle ones where there are more than most.
 func NewConns(l net.Listener, most int) *Conns {
-	return &Conns{Listener: l, most: most, open: map[*callerConn]bool{}}
+	return &Conns{Listener: l, most: most, open: map[*callerConn]bool{}, ended: make(chan struct{})}
+}
+
+// NewWaiting is like NewConns, and accepts no more than so many at once: others wait in the kernel's queue, which costs no
+// descriptor and loses nothing.
+func NewWaiting(l net.Listener, most, places int) *Conns {
+	c := NewConns(l, most)
+	c.places = make(chan struct{}, places)
+	return c
 }
 
 // NewShedding is like NewConns, and turns away at once, with 503, what comes when most are open and none is idle.
@@ -75,8 +87,18 @@
 // Accept implements net.Listener.
 func (l *Conns) Accept() (net.Conn, error) {
 	for {
+		if l.places != nil {
+			select {
+			case l.places <- struct{}{}:
+			case <-l.ended:
+				return nil, net.ErrClosed
+			}
+		}
 		nc, err := l.Listener.Accept()
 		if err != nil {
+			if l.places != nil {
+				<-l.places
+			}
 			return nil, err
 		}
 		if c := l.take(nc); c != nil {
@@ -111,8 +133,11 @@
 	case http.StateIdle:
 		c.idle, c.since = true, time.Now()
 		l.makeRoom()
-	case http.StateClosed, http.StateHijacked:
+	case http.StateClosed:
 		delete(l.open, c)
+		if l.places != nil {
+			<-l.places
+		}
 	}
 }
 
@@ -187,10 +212,25 @@
 	return c.Conn.Write(b)
 }
 
+// Close ends the listener. Connections stay.
+func (l *Conns) Close() error {
+	l.end.Do(func() { close(l.ended) })
+	return l.Listener.Close()
+}
+
+// Abort closes all connections, whatever they are at.
+func (l *Conns) Abort() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		c.Close()
+	}
+}
+
 // Finish closes the listener, retires what is idle and returns when all connections have ended, each with its last
 // request answered.
 func (l *Conns) Finish() error {
-	err := l.Listener.Close()
+	err := l.Close()
 	for l.retireIdle() > 0 {
 		time.Sleep(lookAround)
 	}
--- /dev/null
+++ b/internal/front/plain/serve.go
@@ -0,0 +1,356 @@
+package plain
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"tuliprock/internal/engine"
+)
+
+const (
+	acceptPauseLeast = 5 * time.Millisecond // between two failures to accept, doubled up to
+	acceptPauseMost  = time.Second
+	keepBuffer       = time.Second            // that an idle connection keeps its buffer
+	watchAfter       = 3 * time.Millisecond   // an answer that takes longer is worth a look whether its caller has left
+	lastWords        = 500 * time.Millisecond // for an error to be read before its connection is closed
+	lastRead         = 256 << 10              // bytes of what a refused caller goes on sending that are read meanwhile
+)
+
+// Serve serves connections until the listener is closed, and returns net.ErrClosed then.
+func (s *Server) Serve(c *Conns) error {
+	pause := time.Duration(0)
+	for {
+		nc, err := c.Accept()
+		switch temporary := (interface{ Temporary() bool })(nil); {
+		case err == nil:
+		case errors.As(err, &temporary) && temporary.Temporary(): // lack of descriptors, mostly: it passes
+			pause = min(max(2*pause, acceptPauseLeast), acceptPauseMost)
+			s.log.Warn("accept failed", "err", err, "again_in", pause)
+			time.Sleep(pause)
+			continue
+		default:
+			return err
+		}
+		pause = 0
+		go s.serve(c, nc.(*callerConn))
+	}
+}
+
+// talk is what a connection is served with.
+type talk struct {
+	*Server
+	conn *callerConn
+	in   reader
+	text *bytes.Reader // of a head
+	head *bufio.Reader // reads it
+	out  []byte        // an answer
+}
+
+// serve serves one connection. Conns knows it until it is closed.
+func (s *Server) serve(all *Conns, c *callerConn) {
+	defer all.track(c, http.StateClosed)
+	defer c.Close()
+	defer func() {
+		if cause := recover(); cause != nil { // one request's fault must not end the others
+			s.log.Error("a request failed", "cause", cause, "stack", string(debug.Stack()))
+		}
+	}()
+	t := &talk{Server: s, conn: c, in: reader{Conn: c}, text: bytes.NewReader(nil)}
+	t.head = bufio.NewReaderSize(t.text, 512)
+	if c.SetReadDeadline(after(headTimeout)) != nil {
+		return
+	}
+	for first := true; first || t.await(); first = false {
+		if !first && !t.in.whole() && c.SetReadDeadline(after(headTimeout)) != nil {
+			return
+		}
+		if first && t.in.fill() != nil {
+			return
+		}
+		all.track(c, http.StateActive)
+		if !t.turn() {
+			return
+		}
+		all.track(c, http.StateIdle)
+	}
+}
+
+// await waits for the next request. One that is long in coming costs the connection its buffer: idle connections are many.
+func (t *talk) await() bool {
+	if t.in.start < t.in.end {
+		return true
+	}
+	if t.conn.SetReadDeadline(after(keepBuffer)) != nil {
+		return false
+	}
+	err := t.in.fill()
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err == nil
+	}
+	t.in.buf, t.in.start, t.in.end, t.out = nil, 0, 0, nil
+	if t.conn.SetReadDeadline(after(callersIdle)) != nil {
+		return false
+	}
+	var one [1]byte
+	n, _ := t.conn.Read(one[:])
+	if n == 0 {
+		return false
+	}
+	t.in.buf = append(make([]byte, 0, firstBuffer), one[0])[:firstBuffer]
+	t.in.end = 1
+	return true
+}
+
+// turn reads one request and writes its answer. It tells whether the connection goes on.
+func (t *talk) turn() bool {
+	arrived := time.Now()
+	head, err := t.in.head()
+	switch {
+	case errors.Is(err, errHeadTooLong):
+		return t.refuse(nil, improper(http.StatusRequestHeaderFieldsTooLarge, err.Error()))
+	case errors.Is(err, errBareLF):
+		return t.refuse(nil, improper(http.StatusBadRequest, err.Error()))
+	case err != nil:
+		return false
+	}
+	if f := checkHead(head); f != nil {
+		return t.refuse(nil, f)
+	}
+	t.text.Reset(head)
+	t.head.Reset(t.text)
+	r, err := http.ReadRequest(t.head)
+	if err != nil {
+		return t.refuse(nil, improper(http.StatusBadRequest, "no request of HTTP/1.1"))
+	}
+	if f := checkHost(r.Host); f != nil {
+		return t.refuse(r, f)
+	}
+	if r.ContentLength != 0 && !r.ProtoAtLeast(1, 1) {
+		return t.refuse(r, improper(http.StatusHTTPVersionNotSupported, "a body is not taken in this version"))
+	}
+	body, f := t.readBody(r)
+	if f != nil {
+		return t.refuse(r, f)
+	}
+	if r.URL.Path == healthPath {
+		return t.write(r, http.StatusOK, http.Header{"Content-Type": {"text/plain; charset=utf-8"}}, []byte("ok\n"), false)
+	}
+	v, f := t.desk.Receive(r)
+	if f != nil {
+		return t.refuse(r, f)
+	}
+	taken, kind := false, engine.Failed
+	if v.Over != nil {
+		defer func() { v.Over(taken, kind) }()
+	}
+	c, f := t.read(r, &v, body, arrived)
+	if f != nil {
+		return t.refuse(r, f)
+	}
+	taken = true
+	ctx, leave := context.WithCancel(context.Background())
+	defer leave()
+	w := t.conn.watch(leave)
+	a := v.Engine.Do(ctx, c)
+	w.stop()
+	kind = a.Kind
+	return t.answer(r, a) // also where the caller seems to have left: one half-closed may still read
+}
+
+// readBody reads a body whole, in bounded time.
+func (t *talk) readBody(r *http.Request) ([]byte, *Refusal) {
+	n := r.ContentLength
+	expects := r.Header.Get("Expect")
+	switch {
+	case n > engine.MaxBody:
+		return nil, improper(http.StatusRequestEntityTooLarge, "the body is too long")
+	case expects != "" && expects != "100-continue":
+		return nil, improper(http.StatusExpectationFailed, "Expect: 100-continue is all that is known")
+	case n <= 0:
+		return nil, nil
+	}
+	if err := t.conn.SetReadDeadline(after(t.bodyTimeout)); err != nil {
+		return nil, improper(http.StatusBadRequest, "the body can't be read")
+	}
+	if expects != "" {
+		if _, err := io.WriteString(t.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return nil, improper(http.StatusBadRequest, "the body can't be read")
+		}
+	}
+	body, err := t.in.body(int(n))
+	if err != nil {
+		return nil, improper(http.StatusBadRequest, "the body can't be read")
+	}
+	return body, nil
+}
+
+// refuse answers a request that nobody serves. What is no proper request ends its connection: whatever follows on it, the
+// rest of a body or a request hidden in one, is never taken for one.
+func (t *talk) refuse(r *http.Request, f *Refusal) bool {
+	h := http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
+	advise(h, f.RetryAfter)
+	if len(f.Allow) > 0 {
+		h["Allow"] = []string{strings.Join(f.Allow, ", ")}
+	}
+	if t.write(r, f.Status, h, []byte(f.Reason+"\n"), f.Close) {
+		return true
+	}
+	// A close before all that has come was read would end as a reset, and take the answer with it.
+	if half, ok := t.conn.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		_ = t.conn.SetReadDeadline(after(lastWords))
+		_, _ = io.CopyN(io.Discard, t.conn, lastRead)
+	}
+	return false
+}
+
+// answer writes the final answer of an engine.
+func (t *talk) answer(r *http.Request, a engine.Reply) bool {
+	if a.Kind == engine.Served {
+		return t.write(r, a.Answer.Status, a.Answer.Header, a.Answer.Body, false)
+	}
+	status := statuses[a.Kind]
+	h := http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
+	advise(h, a.RetryAfter)
+	return t.write(r, status, h, []byte(http.StatusText(status)+"\n"), false)
+}
+
+// framing are the headers that are written for the connection, whatever an answer has.
+var framing = map[string]bool{"Content-Length": true, "Connection": true, "Transfer-Encoding": true, "Date": true}
+
+// appender is a byte slice that is written to.
+type appender struct{ b *[]byte }
+
+// Write implements io.Writer.
+func (a appender) Write(p []byte) (int, error) { *a.b = append(*a.b, p...); return len(p), nil }
+
+// WriteString implements io.StringWriter.
+func (a appender) WriteString(s string) (int, error) { *a.b = append(*a.b, s...); return len(s), nil }
+
+// write writes an answer and tells whether the connection goes on. A request that could not be read is nil.
+func (t *talk) write(r *http.Request, status int, h http.Header, body []byte, end bool) bool {
+	end = end || r == nil || r.Close || t.ending.Load()
+	old := r != nil && !r.ProtoAtLeast(1, 1)
+	t.out = append(t.out[:0], "HTTP/1.1 "...)
+	t.out = strconv.AppendInt(t.out, int64(status), 10)
+	t.out = append(append(append(t.out, ' '), http.StatusText(status)...), "\r\nDate: "...)
+	if date := h["Date"]; len(date) == 1 { // an endpoint's own
+		t.out = append(t.out, date[0]...)
+	} else {
+		t.out = time.Now().UTC().AppendFormat(t.out, http.TimeFormat)
+	}
+	t.out = append(t.out, "\r\n"...)
+	_ = h.WriteSubset(appender{&t.out}, framing)
+	bodiless := r != nil && r.Method == http.MethodHead
+	switch {
+	case status < 200 || status == http.StatusNoContent || status == http.StatusNotModified:
+		bodiless = true
+	case bodiless && h.Get("Content-Length") != "": // of what the answer to HEAD stands for
+		t.out = append(append(append(t.out, "Content-Length: "...), h.Get("Content-Length")...), "\r\n"...)
+	default:
+		t.out = append(strconv.AppendInt(append(t.out, "Content-Length: "...), int64(len(body)), 10), "\r\n"...)
+	}
+	switch {
+	case end:
+		t.out = append(t.out, "Connection: close\r\n"...)
+	case old:
+		t.out = append(t.out, "Connection: keep-alive\r\n"...)
+	}
+	t.out = append(t.out, "\r\n"...)
+	if bodiless {
+		body = nil
+	}
+	// Bounded, so that a caller that does not read can't hold a connection for good.
+	if t.conn.Conn.SetWriteDeadline(after(writeTimeout)) != nil {
+		return false
+	}
+	var err error
+	if len(body) <= firstBuffer {
+		t.out = append(t.out, body...)
+		_, err = t.conn.Write(t.out)
+	} else if _, err = t.conn.Write(t.out); err == nil {
+		_, err = t.conn.Write(body)
+	}
+	return err == nil && !end
+}
+
+// watch is a look-out for a caller that leaves before its answer is there.
+type watch struct {
+	conn  net.Conn
+	timer *time.Timer
+	done  chan struct{} // closed when a look-out that began has ended
+
+	mu    sync.Mutex
+	over  bool
+	began bool
+}
+
+// watch calls leave when the caller ends its side of the connection. It begins after a while: most answers come before, and
+// a look-out costs a goroutine.
+func (c *callerConn) watch(leave func()) *watch {
+	w := &watch{conn: c.Conn, done: make(chan struct{})}
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		w.over = true
+		return w
+	}
+	w.timer = time.AfterFunc(watchAfter, func() {
+		w.mu.Lock()
+		if w.over || w.conn.SetReadDeadline(time.Time{}) != nil {
+			w.mu.Unlock()
+			return
+		}
+		w.began = true
+		w.mu.Unlock()
+		defer close(w.done)
+		if gone(raw) {
+			leave()
+		}
+	})
+	return w
+}
+
+// gone waits until something comes on a connection, and tells whether that was its end. It reads nothing.
+func gone(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	left := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) {
+			return false
+		}
+		left = err != nil || n == 0
+		return true
+	})
+	return left && err == nil
+}
+
+// stop ends the look-out.
+func (w *watch) stop() {
+	if w.timer == nil || w.timer.Stop() {
+		return
+	}
+	w.mu.Lock()
+	w.over = true
+	began := w.began
+	w.mu.Unlock()
+	if began {
+		_ = w.conn.SetReadDeadline(time.Unix(1, 0)) // the next read sets its own
+		<-w.done
+	}
+}
--- a/internal/front/plain/server_test.go
+++ b/internal/front/plain/server_test.go
@@ -41,15 +41,15 @@
 	log := slog.New(slog.DiscardHandler)
 	listener := make(piped)
 	conns := NewConns(listener, 100)
-	h := New(nobody{}, "", log).HTTP(conns)
+	s := New(nobody{}, "", log)
 	ended := make(chan error)
-	go func() { ended <- h.Serve(conns) }()
+	go func() { ended <- s.Serve(conns) }()
 	t.Cleanup(func() {
 		close(listener)
 		if err := <-ended; !errors.Is(err, net.ErrClosed) {
 			t.Errorf("the server ended with %v", err)
 		}
-		h.Close()
+		conns.Abort()
 	})
 	return func() net.Conn {
 		here, there := net.Pipe()
--- a/internal/front/plain/shed.go
+++ b/internal/front/plain/shed.go
@@ -35,6 +35,10 @@
 		defer func() { <-s.places }()
 		defer nc.Close()
 		_ = nc.SetDeadline(time.Now().Add(shedWithin))
+		// An answer ahead of its request is none: clients close a connection on which one comes.
+		if _, err := nc.Read(make([]byte, 1)); err != nil {
+			return
+		}
 		if _, err := io.WriteString(nc, shedAnswer); err != nil {
 			return
 		}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -10,8 +9,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"tuliprock"
 	"tuliprock/internal/engine"
 	"tuliprock/internal/front/plain"
@@ -27,7 +24,6 @@
 
 // Sidecar is a sidecar that listens.
 type Sidecar struct {
-	server    *http.Server
 	callers   *plain.Server
 	conns     *plain.Conns
 	engine    *engine.Engine
@@ -52,15 +48,14 @@
 		Conns: max(each, 8), Subscribe: d.Subscribe, Log: log})
 
 	log.Info("listening", "addr", listener.Addr().String())
-	// Beyond the budget callers wait in the kernel's queue, which costs no descriptor and loses nothing.
-	conns := plain.NewConns(netutil.LimitListener(listener, max(each, 8)+spareCallers), max(each, 8))
+	conns := plain.NewWaiting(listener, max(each, 8), max(each, 8)+spareCallers)
 
 	at := &desk{engine: e, effects: map[string]tuliprock.Effect{}}
 	for _, class := range settings.Classes {
 		at.effects[class.Name] = class.Effect
 	}
 	s := plain.New(at, c.Listen, log)
-	return &Sidecar{server: s.HTTP(conns), callers: s, conns: conns, engine: e, discovery: d}, nil
+	return &Sidecar{callers: s, conns: conns, engine: e, discovery: d}, nil
 }
 
 // Addr is where the sidecar listens.
@@ -80,7 +75,7 @@
 	defer stop()
 
 	served := make(chan error, 1)
-	go func() { served <- s.server.Serve(s.conns) }()
+	go func() { served <- s.callers.Serve(s.conns) }()
 	select {
 	case err := <-served:
 		return fmt.Errorf("serve: %w", err)
@@ -97,7 +92,7 @@
 	s.callers.End()
 	err := s.conns.Finish()
 	<-served // the listener is closed
-	return errors.Join(err, s.server.Close())
+	return err
 }
 
 // desk finds a request's class in the first segment of its path; the one engine serves all classes that are listed.
