--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -137,37 +137,34 @@
 // Now is the instant by the clock that the module's instants are of.
 func (l *Engine) Now() time.Duration { return l.clock.now() }
 
-// Do serves a call and gives the one final answer. When ctx ends, the caller has left and no answer is owed any more: it
-// gives Failed then, as it does when the engine has ended.
-func (l *Engine) Do(ctx context.Context, c *Call) Reply {
-	stop := context.AfterFunc(ctx, func() { l.post(func(now time.Duration) { l.leave(now, c) }) })
-	defer stop()
+// Do serves a call and gives the one final answer: Failed where the caller has left or the engine has ended, when none is
+// owed any more.
+func (l *Engine) Do(c *Call) Reply {
 	l.post(func(now time.Duration) { l.start(now, c) })
 	for {
 		select {
 		case r := <-c.replies: // an answer comes before any more work
+			l.rest(c)
 			return r
 		default:
 		}
 		select {
 		case r := <-c.replies:
+			l.rest(c)
 			return r
 		case a := <-c.work:
 			l.make(a, true)
-		case <-ctx.Done():
-			l.rest(c)
-			return Reply{Kind: Failed}
 		case <-l.done:
 			return Reply{Kind: Failed}
 		}
 	}
 }
 
-// rest sees to an attempt that was handed over while its caller left.
+// Leave reports that the caller of a request that is being served has gone.
+func (l *Engine) Leave(c *Call) { l.post(func(now time.Duration) { l.leave(now, c) }) }
+
+// rest sees to an attempt that was handed over just before the caller left.
 func (l *Engine) rest(c *Call) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c.waits = false
 	select {
 	case a := <-c.work:
 		go l.make(a, false)
@@ -179,7 +176,7 @@
 func (l *Engine) make(a *attempt, inline bool) {
 	result, answer := l.upstream.attempt(&a.leash, a.endpoint, a.call.message)
 	l.post(func(now time.Duration) {
-		a.call.waits = a.call.waits || inline && l.mayCall
+		a.call.waits = a.call.waits || inline && l.mayCall && !a.call.over
 		l.report(now, a, result, answer)
 	})
 }
@@ -277,7 +274,8 @@
 // leave reports that the caller of a request has gone.
 func (l *Engine) leave(now time.Duration, c *Call) {
 	if l.calls[c.ID] == c && !c.over {
-		c.over = true
+		c.over, c.waits = true, false
+		c.replies <- Reply{Kind: Failed}
 		l.balancer.ClientLeft(now, c.ID)
 		l.forget(c)
 	}
@@ -288,7 +286,7 @@
 	if c == nil || c.over {
 		return
 	}
-	c.over = true
+	c.over, c.waits = true, false
 	c.replies <- r
 	l.forget(c)
 }
--- a/internal/engine/headers.go
+++ b/internal/engine/headers.go
@@ -2,22 +2,24 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 )
 
 // hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
 
-// EndToEnd is a copy of the headers without those that concern one connection only.
-func EndToEnd(in http.Header) http.Header {
-	out := in.Clone()
-	for _, value := range in.Values("Connection") {
+// EndToEnd takes the headers away that concern one connection only, but for those kept, and gives what is left.
+func EndToEnd(h http.Header, kept ...string) http.Header {
+	for _, value := range h["Connection"] {
 		for name := range strings.SplitSeq(value, ",") {
-			out.Del(strings.TrimSpace(name))
+			if name = http.CanonicalHeaderKey(strings.TrimSpace(name)); !slices.Contains(kept, name) {
+				delete(h, name)
+			}
 		}
 	}
 	for _, name := range hopByHop {
-		out.Del(name)
+		delete(h, name)
 	}
-	return out
+	return h
 }
--- a/internal/front/plain/serve.go
+++ b/internal/front/plain/serve.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -160,10 +159,8 @@
 		return t.refuse(r, f)
 	}
 	taken = true
-	ctx, leave := context.WithCancel(context.Background())
-	defer leave()
-	w := t.conn.watch(leave)
-	a := v.Engine.Do(ctx, c)
+	w := t.conn.watch(func() { v.Engine.Leave(c) })
+	a := v.Engine.Do(c)
 	w.stop()
 	kind = a.Kind
 	return t.answer(r, a) // also where the caller seems to have left: one half-closed may still read
--- a/internal/front/plain/server.go
+++ b/internal/front/plain/server.go
@@ -101,7 +101,8 @@
 	if err := checkForm(r.Method, v.Effect, body); err != nil && !v.AnyForm {
 		return nil, improper(http.StatusMethodNotAllowed, err.Error())
 	}
-	id, header := v.ID, endToEnd(r.Header)
+	id := v.ID
+	header := engine.EndToEnd(r.Header, idHeader, keyHeader) // whatever Connection names, these go on unchanged
 	if values := r.Header.Values(idHeader); len(values) > 0 || id == "" {
 		var err error
 		if id, err = one(values, idHeader); err != nil || len(id) > maxID {
@@ -153,17 +154,6 @@
 	return v[0], nil
 }
 
-// endToEnd gives the headers that go on. Whatever Connection names, the id and the key go on unchanged.
-func endToEnd(in http.Header) http.Header {
-	out := engine.EndToEnd(in)
-	for _, name := range []string{idHeader, keyHeader} {
-		if v := in.Values(name); len(v) > 0 {
-			out[name] = v
-		}
-	}
-	return out
-}
-
 // statuses are what the kinds of answers are to callers.
 var statuses = map[engine.Kind]int{engine.Served: statusServed, engine.Refused: statusRefused, engine.Failed: statusFailed,
 	engine.Duplicate: statusDuplicate}
