--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -174,6 +174,8 @@
 			`x.hcl:55:3: memory: the process needs 32MiB at least
 x.hcl:56:3: connections: the process needs 16 at least
 x.hcl:57:3: stop_within: 1ms leaves callers no time to hear of it; 1s is the least`},
+		{"more connections than memory", good + "limits {\n  memory = \"64MiB\"\n  connections = 10000\n}\n",
+			`x.hcl:54:1: limits: 10000 connections need 137MiB, and memory is 64MiB`},
 		{"too few connections of a pool", swap("pool \"boxes\" {\n", "pool \"boxes\" {\n  connections = 1\n"), `x.hcl:25:3: connections: a pool needs 4 at least`},
 		{"a budget that lets nothing through", swap("pool \"boxes\" {\n", "pool \"boxes\" {\n  retry_budget {\n    share = 0.1\n    most = 0.5\n  }\n"),
 			`x.hcl:27:5: most: 0.5 never lets a retry through; 1 is the least`},
--- a/internal/conf/read.go
+++ b/internal/conf/read.go
@@ -41,6 +41,8 @@
 	leastMemory      = 32 << 20
 	leastConnections = 16
 	leastPoolConns   = 4
+	processMemory    = 20 << 20 // bytes, without any connection
+	connectionMemory = 12 << 10 // of an idle one, as measured with 10,000
 )
 
 // Load reads and checks a file. Getenv gives the values that the file asks for by name.
@@ -242,6 +244,9 @@
 	if l.Connections < leastConnections {
 		r.Fault(r.Places[&l.Connections], "connections: the process needs %d at least", leastConnections)
 	}
+	if need := processMemory + int64(l.Connections)*connectionMemory; need > l.Memory && l.Memory >= leastMemory {
+		r.Fault(b.DefRange, "limits: %d connections need %dMiB, and memory is %dMiB", l.Connections, need>>20, l.Memory>>20)
+	}
 	if l.StopWithin < time.Second {
 		r.Fault(r.Places[&l.StopWithin], "stop_within: %v leaves callers no time to hear of it; 1s is the least", l.StopWithin)
 	}
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -111,6 +111,7 @@
 	answers  *prometheus.CounterVec
 	limits   *prometheus.CounterVec
 	took     *prometheus.HistogramVec
+	worth    *prometheus.CounterVec
 }
 
 // routeMeter has a route's at hand.
@@ -120,6 +121,8 @@
 	kinds map[engine.Kind]prometheus.Counter
 	bad   prometheus.Counter
 	took  prometheus.Observer
+	worth map[engine.Kind]prometheus.Counter
+	each  float64 // worth of an answer
 }
 
 var kindNames = map[engine.Kind]string{engine.Served: "served", engine.Refused: "refused", engine.Failed: "failed", engine.Duplicate: "duplicate"}
@@ -133,15 +136,18 @@
 		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "rowancart_answer_seconds",
 			Help: "Time from a request's arrival to its final answer, by route.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 15)}, []string{"route"}),
 	}
-	m.registry.MustRegister(m.answers, m.limits, m.took, &collector{d})
+	m.worth = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "rowancart_worth_total",
+		Help: "Worth of final answers as their classes state it, by route and kind."}, []string{"route", "kind"})
+	m.registry.MustRegister(m.answers, m.limits, m.took, m.worth, &collector{d})
 	return m
 }
 
-func (m *meter) route(name string) *routeMeter {
-	r := &routeMeter{m: m, route: name, kinds: map[engine.Kind]prometheus.Counter{}, took: m.took.WithLabelValues(name),
+func (m *meter) route(name string, worth float64) *routeMeter {
+	r := &routeMeter{m: m, route: name, each: worth, worth: map[engine.Kind]prometheus.Counter{}, kinds: map[engine.Kind]prometheus.Counter{}, took: m.took.WithLabelValues(name),
 		bad: m.answers.WithLabelValues(name, "improper")}
 	for kind, word := range kindNames {
 		r.kinds[kind] = m.answers.WithLabelValues(name, word)
+		r.worth[kind] = m.worth.WithLabelValues(name, word)
 	}
 	return r
 }
@@ -152,6 +158,7 @@
 	m.answers.DeletePartialMatch(labels)
 	m.limits.DeletePartialMatch(labels)
 	m.took.DeletePartialMatch(labels)
+	m.worth.DeletePartialMatch(labels)
 }
 
 func (r *routeMeter) over(taken bool, k engine.Kind, took time.Duration) {
@@ -160,6 +167,7 @@
 		return
 	}
 	r.kinds[k].Inc()
+	r.worth[k].Add(r.each)
 	r.took.Observe(took.Seconds())
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -98,9 +99,7 @@
 	d := &Daemon{path: path, getenv: getenv, log: log, seed: binary.LittleEndian.Uint64(seed[:]),
 		gates: map[string]*gate{}, idle: make(chan struct{}, 1), applied: o.Applied}
 	d.meter = newMeter(d)
-	for _, w := range c.Warnings {
-		log.Warn(w)
-	}
+	d.warn(c)
 	opened, err := d.open(c)
 	if err != nil {
 		return nil, err
@@ -118,6 +117,24 @@
 	return d, nil
 }
 
+const otherDescriptors = 64 // for all but connections
+
+// warn tells what is legal and hardly meant, and what this process cannot hold.
+func (d *Daemon) warn(c *conf.Config) {
+	need := uint64(c.Limits.Connections + otherDescriptors)
+	for _, p := range c.Pools {
+		need += uint64(p.Connections)
+	}
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil && need > limit.Cur {
+		c.Warnings = append(c.Warnings, fmt.Sprintf("%s: callers and pools may open %d connections together, and the process has %d descriptors",
+			c.File, need, limit.Cur))
+	}
+	for _, w := range c.Warnings {
+		d.log.Warn(w)
+	}
+}
+
 // listen opens an address of the configuration.
 func listen(address string) (net.Listener, error) {
 	if path, ok := strings.CutPrefix(address, "unix:"); ok {
@@ -330,9 +347,7 @@
 	if err != nil {
 		return err
 	}
-	for _, w := range c.Warnings {
-		d.log.Warn(w)
-	}
+	d.warn(c)
 	d.swap(c, opened)
 	if d.work != nil { // else Run starts them
 		for _, l := range opened {
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -525,7 +525,7 @@
 		"/healthz": {"ok"},
 		"/status":  {`"generation": 1`, `"name": "one"`, `"ready": 1`, `"class": "look"`},
 		"/metrics": {`rowancart_answers_total{kind="served",route="x"} 1`, `rowancart_endpoints{pool="one",state="ready"} 1`, "rowancart_generation 1",
-			`rowancart_answer_seconds_count{route="x"} 1`},
+			`rowancart_answer_seconds_count{route="x"} 1`, `rowancart_worth_total{kind="served",route="x"} 1`},
 	} {
 		status, text := get(http.MethodGet, path)
 		for _, want := range wants {
@@ -583,6 +583,12 @@
 	case <-time.After(patience):
 		t.Error("a request that never ends holds up the end")
 	}
+	if !strings.Contains(s.log.String(), "the time for it is over") {
+		t.Error("it was not cut off")
+	}
+	if n := hung.Requests.Load(); n != 1 {
+		t.Errorf("sent %d times", n)
+	}
 }
 
 // Connections beyond the limit are told so at once, and idle ones give way before that.
--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -137,7 +137,7 @@
 			continue
 		}
 		matches = append(matches, r.Match)
-		t.routes = append(t.routes, &served{Route: r, pool: g.pools[r.Pool], class: className(r), gate: d.gates[r.Name], meter: d.meter.route(r.Name)})
+		t.routes = append(t.routes, &served{Route: r, pool: g.pools[r.Pool], class: className(r), gate: d.gates[r.Name], meter: d.meter.route(r.Name, r.Class.Worth)})
 	}
 	t.Table = route.New(matches)
 	return t
--- a/internal/front/plain/serve.go
+++ b/internal/front/plain/serve.go
@@ -304,10 +304,11 @@
 	}
 	w.timer = time.AfterFunc(watchAfter, func() {
 		w.mu.Lock()
-		if w.over || w.conn.SetReadDeadline(time.Time{}) != nil {
+		if w.over {
 			w.mu.Unlock()
 			return
 		}
+		_ = w.conn.SetReadDeadline(time.Time{}) // of one that is closed already the look-out tells
 		w.began = true
 		w.mu.Unlock()
 		defer close(w.done)
@@ -334,7 +335,7 @@
 		left = err != nil || n == 0
 		return true
 	})
-	return left && err == nil
+	return left || errors.Is(err, net.ErrClosed) // cut off at the end of the daemon's time
 }
 
 // stop ends the look-out.
--- a/internal/lab/expfile/expfile.go
+++ b/internal/lab/expfile/expfile.go
@@ -165,7 +165,22 @@
 		"fault kind": func(b *hcl.Block) { r.failure(b, e) },
 		"arm name": func(b *hcl.Block) {
 			a := lab.Arm{Name: b.Labels[0], Policy: "tuliprock"}
-			r.Body(b.Body, hclbody.Fields{"policy": &a.Policy, "run": &a.Run}, nil)
+			r.Body(b.Body, hclbody.Fields{"policy": &a.Policy, "run": &a.Run}, hclbody.Blocks{"class name": func(b *hcl.Block) {
+				p := lab.ClassPolicy{Class: b.Labels[0]}
+				queue, retry := -1, "after_run"
+				r.Body(b.Body, hclbody.Fields{"attempt_timeout": &p.AttemptTimeout, "attempts": &p.Attempts, "retry": &retry,
+					"copy_after": &p.CopyAfter, "copy_percentile": &p.CopyPercentile, "queue": &queue}, nil)
+				hclbody.OneOf(&r.Reader, b.DefRange, "retry", retry, "not_run", "after_run")
+				if p.NoRerun = retry == "not_run"; queue == 0 {
+					p.Queue = -1
+				} else if queue > 0 {
+					p.Queue = queue
+				}
+				if !slices.ContainsFunc(e.Site.Classes, func(c lab.Class) bool { return c.Name == p.Class }) {
+					r.Fault(b.DefRange, "class: the site has none called %q; it must stand before the arms", p.Class)
+				}
+				a.Classes = append(a.Classes, p)
+			}})
 			hclbody.OneOf(&r.Reader, b.DefRange, "policy", a.Policy, append([]string{"tuliprock", "reverse_proxy"}, rival.Names...)...)
 			if slices.ContainsFunc(e.Arms, func(o lab.Arm) bool { return o.Name == a.Name }) {
 				r.Fault(b.DefRange, "arm: there are two called %q", a.Name)
--- a/internal/lab/expfile/expfile_test.go
+++ b/internal/lab/expfile/expfile_test.go
@@ -60,6 +60,7 @@
 		{"unknown tier", good + "fault \"crash\" {\n  at   = \"1s\"\n  tier = \"back\"\n}\n", `x.hcl:18:1: fault: there is no tier "back" above it in the file`},
 		{"share over 1", good + "fault \"crash\" {\n  at   = \"1s\"\n  part = 2\n}\n", `x.hcl:20:10: part: 2 is no share: it is not from 0 to 1`},
 		{"same arm twice", good + "arm \"a\" {}\narm \"a\" {}\n", `x.hcl:19:1: arm: there are two called "a"`},
+		{"policy for no class", good + "arm \"a\" {\n  class \"nobody\" {}\n}\n", `x.hcl:19:3: class: the site has none called "nobody"; it must stand before the arms`},
 		{"unknown policy", good + "arm \"a\" {\n  policy = \"best\"\n}\n", `x.hcl:18:1: policy: "best" is none of tuliprock, reverse_proxy, random, round_robin, least_outstanding, two_choices, peak_ewma`},
 		{"expectation of nobody", good + "expect {\n  arm        = \"b\"\n  rules_kept = true\n}\n", `x.hcl:18:1: expect: there is no arm "b"`},
 		{"expectation of nothing", good + "expect {}\n", `x.hcl:18:1: expect: it asks for nothing`},
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -210,6 +210,39 @@
 	Name   string
 	Policy string // in virtual time: tuliprock or one of rival.Names
 	Run    string // on sockets: a command that serves as DEPLOY says; empty: the policy's own
+
+	Classes []ClassPolicy // what classes may do beyond the site's rules; in virtual time, and tuliprock alone goes by it
+}
+
+// ClassPolicy is what the requests of a class may do. Its zero values leave the class as the site has it.
+type ClassPolicy struct {
+	Class          string
+	AttemptTimeout time.Duration
+	Attempts       int
+	NoRerun        bool
+	CopyAfter      time.Duration
+	CopyPercentile float64
+	Queue          int // below 0: nothing waits
+}
+
+// Of gives the policy of a class.
+func (a Arm) Of(class string) ClassPolicy {
+	for _, p := range a.Classes {
+		if p.Class == class {
+			return p
+		}
+	}
+	return ClassPolicy{Class: class}
+}
+
+// Apply gives settings with an arm's policies.
+func (a Arm) Apply(s tuliprock.Settings) tuliprock.Settings {
+	for i := range s.Classes {
+		c, p := &s.Classes[i], a.Of(s.Classes[i].Name)
+		c.AttemptTimeout, c.MaxAttempts, c.NoRerun, c.CopyAfter = p.AttemptTimeout, p.Attempts, p.NoRerun, p.CopyAfter
+		c.CopyShare, c.Queue = p.CopyPercentile/100, p.Queue
+	}
+	return s
 }
 
 // Expectation is what an experiment says must come out; a play that misses one fails.
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -19,6 +19,7 @@
 const (
 	Answer    Rule = "answer"    // each request taken gets one final answer, before its client gives up
 	Duplicate Rule = "duplicate" // what is unsafe is sent again only if no earlier attempt can have run
+	Policy    Rule = "policy"    // no more attempts, and no run after a run, than the class's policy allows
 	Drain     Rule = "drain"     // nothing new to a box told to drain or be gone, a grace after the telling
 	Cold      Rule = "cold"      // no cold box is sent so much that it falls over
 	Foreign   Rule = "foreign"   // nothing reaches a box but what a client sent as a request of its own
@@ -28,7 +29,7 @@
 	Limits    Rule = "limits"    // memory, descriptors and CPU
 )
 
-var order = []Rule{Answer, Duplicate, Drain, Cold, Foreign, Invented, Refusal, Improper, Limits}
+var order = []Rule{Answer, Duplicate, Policy, Drain, Cold, Foreign, Invented, Refusal, Improper, Limits}
 
 // Verdict is what became of one rule.
 type Verdict struct {
@@ -56,6 +57,8 @@
 	Effect   tuliprock.Effect
 	Deadline time.Duration
 	Digest   uint64 // of all that must reach boxes unchanged
+	Attempts int    // allowed by its policy; 0: not limited there
+	Once     bool   // its policy forbids another run after one that may have been, whatever the effect
 }
 
 // Arrival is a request that has reached a box whole.
@@ -256,6 +259,12 @@
 	if a.Cold {
 		l.press(a, l.started[p])
 	}
+	if c.Attempts > 0 && len(c.runs) >= c.Attempts {
+		l.broken(Policy, a.Last, "request %s reached a box %d times, and %d attempts are allowed", a.ID, len(c.runs)+1, c.Attempts)
+	}
+	if c.Once && slices.ContainsFunc(c.runs, func(r run) bool { return r.declined == 0 || r.declined > a.First }) {
+		l.broken(Policy, a.Last, "request %s reached %s after a run, which its policy forbids", a.ID, a.Box)
+	}
 	if c.Effect == tuliprock.Unsafe {
 		for _, r := range c.runs {
 			if r.declined == 0 || r.declined > a.First {
--- a/internal/lab/ledger/ledger_test.go
+++ b/internal/lab/ledger/ledger_test.go
@@ -47,6 +47,21 @@
 			l.Excuse("r")
 			reach(l, "r", "b", 900*ms)
 		}},
+		{"one attempt more than allowed", Policy, func(l *Ledger) {
+			l.Taken(0, Request{ID: "r", Instance: "s", Deadline: time.Second, Digest: 1, Attempts: 1})
+			reach(l, "r", "a", ms)
+			l.Declined(2*ms, "a", "r")
+			reach(l, "r", "b", 3*ms)
+			l.Made("b", "r", 7)
+			l.Answered(5*ms, "r", Served, 7)
+		}},
+		{"safe, and run again where that is forbidden", Policy, func(l *Ledger) {
+			l.Taken(0, Request{ID: "r", Instance: "s", Deadline: time.Second, Digest: 1, Once: true})
+			reach(l, "r", "a", ms)
+			reach(l, "r", "b", 3*ms)
+			l.Made("b", "r", 7)
+			l.Answered(5*ms, "r", Served, 7)
+		}},
 		{"one id on two boxes at once", Duplicate, func(l *Ledger) {
 			taken(l, "r", tuliprock.Unsafe)
 			reach(l, "r", "a", ms)
--- a/internal/lab/virtual/instance.go
+++ b/internal/lab/virtual/instance.go
@@ -116,7 +116,7 @@
 	in.down = false
 	in.calls, in.idle, in.missed, in.toldAt = map[string]*call{}, map[*host][]idle{}, nil, now
 	seed := lab.Seed(w.seed, in.name+" start "+string(rune('0'+in.starts%10)))
-	settings := w.e.Site.Settings(in.tier, in.index, in.count, seed)
+	settings := w.arm.Apply(w.e.Site.Settings(in.tier, in.index, in.count, seed))
 	if w.arm.Policy == "tuliprock" {
 		in.policy = tuliprock.New(zero+now, settings, (*hands)(in))
 	} else {
@@ -182,7 +182,8 @@
 	}
 	c.digest = lab.Seed(w.seed, c.id)
 	class := &w.e.Site.Classes[c.class]
-	w.ledger.Taken(now, ledger.Request{ID: c.id, Instance: in.name, Effect: class.Effect, Deadline: c.deadline, Digest: 1})
+	w.ledger.Taken(now, ledger.Request{ID: c.id, Instance: in.name, Effect: class.Effect, Deadline: c.deadline, Digest: 1,
+		Attempts: w.arm.Of(class.Name).Attempts, Once: w.arm.Of(class.Name).NoRerun})
 	in.calls[c.id] = c
 	c.attempts = c.first[:0]
 	if in.tier == 0 {
