--- a/internal/engine/recent.go
+++ b/internal/engine/recent.go
@@ -12,7 +12,7 @@
 		return false
 	}
 	if r.young == nil || len(r.young) >= recentMost {
-		r.young, r.old = map[string]bool{}, r.young
+		r.young, r.old = make(map[string]bool, len(r.young)), r.young
 	}
 	r.young[id] = true
 	return true
--- a/internal/engine/upstream.go
+++ b/internal/engine/upstream.go
@@ -478,9 +478,16 @@
 // head is the request's head as every endpoint gets it, but for the deadline at its end.
 func (m *Message) head() []byte {
 	m.once.Do(func() {
-		var b bytes.Buffer
+		b := bytes.NewBuffer(make([]byte, 0, 512))
 		b.WriteString(m.Method + " " + m.URL.RequestURI() + " HTTP/1.1\r\nHost: " + m.Host + "\r\n")
-		_ = m.Header.WriteSubset(&b, notOurs) // a Buffer takes all
+		for name, values := range m.Header { // the order of different names means nothing (RFC 9110, 5.3)
+			if notOurs[name] {
+				continue
+			}
+			for _, v := range values {
+				b.WriteString(name + ": " + v + "\r\n")
+			}
+		}
 		if len(m.Body) > 0 || m.Method == http.MethodPost || m.Method == http.MethodPut || m.Method == http.MethodPatch {
 			b.WriteString("Content-Length: " + strconv.Itoa(len(m.Body)) + "\r\n")
 		}
--- a/internal/front/plain/serve.go
+++ b/internal/front/plain/serve.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -223,6 +224,26 @@
 	return t.write(r, status, h, []byte(http.StatusText(status)+"\n"), false)
 }
 
+// date is the time as headers have it, made once a second.
+type date struct{ latest atomic.Pointer[stamp] }
+
+type stamp struct {
+	second int64
+	text   string
+}
+
+var now date
+
+func (d *date) get() string {
+	at := time.Now()
+	s := d.latest.Load()
+	if s == nil || s.second != at.Unix() {
+		s = &stamp{at.Unix(), at.UTC().Format(http.TimeFormat)}
+		d.latest.Store(s)
+	}
+	return s.text
+}
+
 // framing are the headers that are written for the connection, whatever an answer has.
 var framing = map[string]bool{"Content-Length": true, "Connection": true, "Transfer-Encoding": true, "Date": true}
 
@@ -245,7 +266,7 @@
 	if date := h["Date"]; len(date) == 1 { // an endpoint's own
 		t.out = append(t.out, date[0]...)
 	} else {
-		t.out = time.Now().UTC().AppendFormat(t.out, http.TimeFormat)
+		t.out = append(t.out, now.get()...)
 	}
 	t.out = append(t.out, "\r\n"...)
 	_ = h.WriteSubset(appender{&t.out}, framing)
