--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -167,6 +167,7 @@
 		}
 		l := &listener{name: want.Name, address: want.Address, conns: plain.NewShedding(nl, c.Limits.Connections/len(c.Listeners)), daemon: d}
 		l.front = plain.New(l, want.Address, d.log)
+		l.front.RoundAdvice()
 		opened = append(opened, l)
 	}
 	return opened, nil
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -210,8 +210,8 @@
 	}
 	all.Go(func() { s.ask(http.MethodGet, "/some") })
 	<-came
-	if status, _, h := s.ask(http.MethodGet, "/some"); status != http.StatusTooManyRequests || h.Get("Retry-After") == "" {
-		t.Errorf("over the rate: %d", status)
+	if status, _, h := s.ask(http.MethodGet, "/some"); status != http.StatusTooManyRequests || h.Get("Retry-After") != "3600" {
+		t.Errorf("over the rate: %d, back in %q", status, h.Get("Retry-After"))
 	}
 	close(release)
 	all.Wait()
--- a/internal/front/plain/serve.go
+++ b/internal/front/plain/serve.go
@@ -198,7 +198,7 @@
 // rest of a body or a request hidden in one, is never taken for one.
 func (t *talk) refuse(r *http.Request, f *Refusal) bool {
 	h := http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
-	advise(h, f.RetryAfter)
+	t.advise(h, f.RetryAfter)
 	if len(f.Allow) > 0 {
 		h["Allow"] = []string{strings.Join(f.Allow, ", ")}
 	}
@@ -220,7 +220,7 @@
 	}
 	status := statuses[a.Kind]
 	h := http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
-	advise(h, a.RetryAfter)
+	t.advise(h, a.RetryAfter)
 	return t.write(r, status, h, []byte(http.StatusText(status)+"\n"), false)
 }
 
--- a/internal/front/plain/server.go
+++ b/internal/front/plain/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -76,6 +77,8 @@
 	log         *slog.Logger
 	bodyTimeout time.Duration
 	ending      atomic.Bool
+
+	wholeSeconds bool // in Retry-After
 }
 
 // New returns a server. Host stands in where a caller names none.
@@ -83,6 +86,10 @@
 	return &Server{desk: d, host: host, log: log, bodyTimeout: bodyTimeout}
 }
 
+// RoundAdvice makes Retry-After a whole number of seconds, as RFC 9110 (10.2.3) has it. The platform's clients read
+// fractions. It must be called before the first request comes.
+func (s *Server) RoundAdvice() { s.wholeSeconds = true }
+
 // End makes answers close their connections from now on.
 func (s *Server) End() { s.ending.Store(true) }
 
@@ -90,8 +97,12 @@
 func (s *Server) LimitBodies(d time.Duration) { s.bodyTimeout = d }
 
 // advise says when trying again makes sense.
-func advise(h http.Header, after time.Duration) {
-	if after > 0 {
+func (s *Server) advise(h http.Header, after time.Duration) {
+	switch {
+	case after <= 0:
+	case s.wholeSeconds:
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
+	default:
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
 }
