Read plain heads without net/http, reuse memory of long bodies

A tenth of a request's cost was net/http's reading of heads that the front had checked already.

A connection keeps one look-out and one timer for it; heads are written where they are sent; the clock is read once an event; bodies over 4 KiB use memory again that no attempt reads any more.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -233,19 +233,17 @@
 	if l.ended {
 		return
 	}
-	l.handle(event)
-	if now := l.clock.now(); len(l.timers) > 0 && (l.timers[0] < l.rings || l.rings <= now) {
-		l.rings = l.timers[0]
-		l.alarm.Reset(l.rings - now)
-	}
-}
-
-func (l *Engine) handle(event func(now time.Duration)) {
-	event(l.clock.now())
+	now := l.clock.now()
+	event(now)
 	for len(l.later) > 0 {
 		next := l.later[0]
 		l.later = l.later[1:]
-		next(l.clock.now())
+		now = l.clock.now()
+		next(now)
+	}
+	if len(l.timers) > 0 && (l.timers[0] < l.rings || l.rings <= now) {
+		l.rings = l.timers[0]
+		l.alarm.Reset(l.rings - now)
 	}
 }
 
@@ -291,10 +289,14 @@
 	l.forget(c)
 }
 
-// forget drops a call of which nothing is to come any more.
+// forget drops a call of which nothing is to come any more: no attempt is out, and Send makes none for a call that is not
+// known.
 func (l *Engine) forget(c *Call) {
 	if c.over && c.out == 0 && l.calls[c.ID] == c {
 		delete(l.calls, c.ID)
+		if c.message.Free != nil {
+			c.message.Free()
+		}
 	}
 }
 
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -46,7 +46,7 @@
 	l.balancer, l.timers = r, nil
 	r.host.Timer(clockStart)
 	r.host.Timer(clockStart + 1)
-	l.handle(l.ring)
+	l.ring(l.clock.now())
 	if r.rings != 2 || len(l.timers) != 2 {
 		t.Errorf("%d rings, %d timers wait", r.rings, len(l.timers))
 	}
--- a/internal/engine/upstream.go
+++ b/internal/engine/upstream.go
@@ -2,10 +2,10 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/url"
@@ -16,6 +16,7 @@
 	"time"
 
 	"tuliprock"
+	"tuliprock/internal/head"
 )
 
 const (
@@ -42,9 +43,7 @@
 	Host   string
 	Header http.Header // end to end; the deadline is set for each attempt
 	Body   []byte
-
-	once sync.Once // for what endpoints get of it
-	text []byte
+	Free   func() // is told when no attempt reads Body any more; it may never be told. nil: nobody asks
 }
 
 // Answer is an endpoint's whole answer.
@@ -403,21 +402,20 @@
 	if !c.send(m, l.deadline) {
 		return l.unlessCanceled(tuliprock.ConnectFailed), Answer{}, false
 	}
-	resp, body, err := c.readAnswer(m.Method)
+	a, last, err := c.readAnswer(m.Method)
 	if err != nil {
 		return l.broken(err), Answer{}, false
 	}
-	reusable = !resp.Close && c.read.Buffered() == 0
+	reusable = !last && c.read.Buffered() == 0
 	switch {
-	case resp.StatusCode == http.StatusOK || relay && resp.StatusCode < http.StatusInternalServerError:
-		header := http.Header{}
+	case a.Status == http.StatusOK || relay && a.Status < http.StatusInternalServerError:
 		if relay {
-			header = EndToEnd(resp.Header)
-		} else if v := resp.Header.Get("Content-Type"); v != "" {
-			header["Content-Type"] = []string{v}
+			a.Header = EndToEnd(a.Header)
+		} else {
+			maps.DeleteFunc(a.Header, func(name string, _ []string) bool { return name != "Content-Type" })
 		}
-		return tuliprock.OK, Answer{resp.StatusCode, header, body}, reusable
-	case isUnavailable(resp.StatusCode) && resp.Header.Get(declined) == "1":
+		return tuliprock.OK, a, reusable
+	case isUnavailable(a.Status) && a.Header.Get(declined) == "1":
 		return tuliprock.Full, Answer{}, reusable
 	}
 	return tuliprock.Errored, Answer{}, reusable
@@ -430,9 +428,34 @@
 // asked tells net/http whether an answer is one to HEAD, which has no body.
 var asked = map[bool]*http.Request{true: {Method: http.MethodHead}, false: {Method: http.MethodGet}}
 
-// readAnswer reads an answer whole. One without a length could end early unseen and is not taken for whole.
-func (c *conn) readAnswer(method string) (*http.Response, []byte, error) {
+// readAnswer reads an answer whole, and tells whether it is the connection's last. One without a length could end early
+// unseen and is not taken for whole.
+func (c *conn) readAnswer(method string) (a Answer, last bool, err error) {
 	c.limit.N = MaxHead + MaxBody
+	if method != http.MethodHead {
+		if _, err := c.read.Peek(1); err != nil {
+			return Answer{}, true, err
+		}
+		come, _ := c.read.Peek(c.read.Buffered())
+		if status, h, size, length, ok := head.Answer(come); ok {
+			if length > MaxBody {
+				return Answer{}, true, errTooLong
+			}
+			_, _ = c.read.Discard(size) // it is there
+			a = Answer{status, h, make([]byte, length)}
+			_, err = io.ReadFull(c.read, a.Body)
+			return a, false, err
+		}
+	}
+	resp, body, err := c.readOther(method)
+	if err != nil {
+		return Answer{}, true, err
+	}
+	return Answer{resp.StatusCode, resp.Header, body}, resp.Close, nil
+}
+
+// readOther reads an answer that is not of the plainest form.
+func (c *conn) readOther(method string) (*http.Response, []byte, error) {
 	for range maxInterim {
 		resp, err := http.ReadResponse(c.read, asked[method == http.MethodHead])
 		if err != nil {
@@ -475,35 +498,37 @@
 // notOurs are the headers that are written for each attempt, or never.
 var notOurs = map[string]bool{"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true, DeadlineHeader: true}
 
-// head is the request's head as every endpoint gets it, but for the deadline at its end.
-func (m *Message) head() []byte {
-	m.once.Do(func() {
-		b := bytes.NewBuffer(make([]byte, 0, 512))
-		b.WriteString(m.Method + " " + m.URL.RequestURI() + " HTTP/1.1\r\nHost: " + m.Host + "\r\n")
-		for name, values := range m.Header { // the order of different names means nothing (RFC 9110, 5.3)
-			if notOurs[name] {
-				continue
-			}
-			for _, v := range values {
-				b.WriteString(name + ": " + v + "\r\n")
-			}
+// appendHead appends the request's head as every endpoint gets it, with how long this side waits.
+func (m *Message) appendHead(b []byte, wait time.Duration) []byte {
+	text := func(parts ...string) {
+		for _, s := range parts {
+			b = append(b, s...)
 		}
-		if len(m.Body) > 0 || m.Method == http.MethodPost || m.Method == http.MethodPut || m.Method == http.MethodPatch {
-			b.WriteString("Content-Length: " + strconv.Itoa(len(m.Body)) + "\r\n")
+	}
+	text(m.Method, " ", m.URL.RequestURI(), " HTTP/1.1\r\nHost: ", m.Host, "\r\n")
+	for name, values := range m.Header { // the order of different names means nothing (RFC 9110, 5.3)
+		if notOurs[name] {
+			continue
 		}
-		b.WriteString(DeadlineHeader + ": ")
-		m.text = b.Bytes()
-	})
-	return m.text
+		for _, v := range values {
+			text(name, ": ", v, "\r\n")
+		}
+	}
+	if len(m.Body) > 0 || m.Method == http.MethodPost || m.Method == http.MethodPut || m.Method == http.MethodPatch {
+		text("Content-Length: ")
+		b = strconv.AppendInt(b, int64(len(m.Body)), 10)
+		text("\r\n")
+	}
+	text(DeadlineHeader, ": ")
+	b = strconv.AppendInt(b, max(wait.Milliseconds(), 1), 10)
+	return append(b, "\r\n\r\n"...)
 }
 
 const smallBody = 4 << 10 // that is copied behind its head, so that both go in one write
 
 // send writes a request and tells whether all of it was written. Its deadline says how long this side waits.
 func (c *conn) send(m *Message, deadline time.Time) bool {
-	c.out = append(c.out[:0], m.head()...)
-	c.out = strconv.AppendInt(c.out, max(time.Until(deadline).Milliseconds(), 1), 10)
-	c.out = append(c.out, "\r\n\r\n"...)
+	c.out = m.appendHead(c.out[:0], time.Until(deadline))
 	if len(m.Body) <= smallBody {
 		c.out = append(c.out, m.Body...)
 		n, _ := c.Write(c.out)
--- a/internal/front/plain/head.go
+++ b/internal/front/plain/head.go
@@ -1,13 +1,16 @@
 package plain
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"tuliprock/internal/engine"
+	"tuliprock/internal/head"
 )
 
 const firstBuffer = 4 << 10 // bytes: enough for most heads, and little enough for every connection to have
@@ -69,19 +72,42 @@
 
 var errBareLF = errors.New("a line that does not end with CR LF")
 
-// body reads so many bytes. They are the caller's to keep.
-func (r *reader) body(n int) ([]byte, error) {
-	out := make([]byte, n)
+// bodies keeps the memory of long bodies for others: *[]byte of engine.MaxBody bytes.
+var bodies = sync.Pool{New: func() any { b := make([]byte, engine.MaxBody); return &b }}
+
+// body reads so many bytes, engine.MaxBody at most. They are the caller's to keep until it calls free, nil for few bytes.
+func (r *reader) body(n int) (out []byte, free func(), err error) {
+	if n <= firstBuffer {
+		out = make([]byte, n)
+	} else {
+		b := bodies.Get().(*[]byte)
+		out, free = (*b)[:n], func() { bodies.Put(b) }
+	}
 	have := copy(out, r.buf[r.start:r.end])
 	r.start += have
 	for have < n {
 		got, err := r.Conn.Read(out[have:])
 		have += got
 		if err != nil && have < n {
-			return nil, err
+			return nil, nil, err
 		}
 	}
-	return out, nil
+	return out, free, nil
+}
+
+// readHead reads a request's head, and refuses one that has more than one reading.
+func readHead(text []byte) (*http.Request, *Refusal) {
+	if r := head.Request(text); r != nil { // of the plainest form, in which there is nothing to refuse
+		return r, nil
+	}
+	if f := checkHead(text); f != nil {
+		return nil, f
+	}
+	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(text)))
+	if err != nil {
+		return nil, improper(http.StatusBadRequest, "no request of HTTP/1.1")
+	}
+	return r, nil
 }
 
 // checkHead holds a head to the framing that has one reading only (RFC 9112, 2.2, 3.2, 5 and 6.3): what net/http's parser
--- a/internal/front/plain/head_test.go
+++ b/internal/front/plain/head_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"log/slog"
@@ -79,15 +78,18 @@
 			in := &reader{Conn: &trickle{text: strings.NewReader(text), size: size}}
 			for {
 				head, err := in.head()
-				if err != nil || checkHead(head) != nil {
+				if err != nil {
 					return heads, bodies
 				}
-				r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
-				if err != nil || r.ContentLength < 0 || r.ContentLength > engine.MaxBody {
+				r, f := readHead(head)
+				if f == nil && checkHead(head) != nil {
+					t.Fatalf("%q is read though it is refused", head)
+				}
+				if f != nil || r.ContentLength < 0 || r.ContentLength > engine.MaxBody {
 					return heads, bodies
 				}
 				heads = append(heads, string(head))
-				body, err := in.body(int(r.ContentLength))
+				body, _, err := in.body(int(r.ContentLength))
 				if err != nil {
 					return heads, bodies
 				}
--- a/internal/front/plain/serve.go
+++ b/internal/front/plain/serve.go
@@ -1,8 +1,6 @@
 package plain
 
 import (
-	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -23,6 +21,7 @@
 	acceptPauseLeast = 5 * time.Millisecond // between two failures to accept, doubled up to
 	acceptPauseMost  = time.Second
 	keepBuffer       = time.Second            // that an idle connection keeps its buffer
+	writeSlack       = time.Second            // a deadline of writes this young is kept for the next
 	watchAfter       = 3 * time.Millisecond   // an answer that takes longer is worth a look whether its caller has left
 	lastWords        = 500 * time.Millisecond // for an error to be read before its connection is closed
 	lastRead         = 256 << 10              // bytes of what a refused caller goes on sending that are read meanwhile
@@ -53,9 +52,10 @@
 	*Server
 	conn *callerConn
 	in   reader
-	text *bytes.Reader // of a head
-	head *bufio.Reader // reads it
-	out  []byte        // an answer
+	out  []byte // an answer
+	look watch
+
+	writesFrom time.Time // when the deadline of writes was set
 }
 
 // serve serves one connection. Conns knows it until it is closed.
@@ -67,8 +67,8 @@
 			s.log.Error("a request failed", "cause", cause, "stack", string(debug.Stack()))
 		}
 	}()
-	t := &talk{Server: s, conn: c, in: reader{Conn: c}, text: bytes.NewReader(nil)}
-	t.head = bufio.NewReaderSize(t.text, 512)
+	t := &talk{Server: s, conn: c, in: reader{Conn: c}}
+	t.look.of(c.Conn)
 	if c.SetReadDeadline(after(headTimeout)) != nil {
 		return
 	}
@@ -125,22 +125,17 @@
 	case err != nil:
 		return false
 	}
-	if f := checkHead(head); f != nil {
+	r, f := readHead(head)
+	if f != nil {
 		return t.refuse(nil, f)
 	}
-	t.text.Reset(head)
-	t.head.Reset(t.text)
-	r, err := http.ReadRequest(t.head)
-	if err != nil {
-		return t.refuse(nil, improper(http.StatusBadRequest, "no request of HTTP/1.1"))
-	}
 	if f := checkHost(r.Host); f != nil {
 		return t.refuse(r, f)
 	}
 	if r.ContentLength != 0 && !r.ProtoAtLeast(1, 1) {
 		return t.refuse(r, improper(http.StatusHTTPVersionNotSupported, "a body is not taken in this version"))
 	}
-	body, f := t.readBody(r)
+	body, free, f := t.readBody(r)
 	if f != nil {
 		return t.refuse(r, f)
 	}
@@ -155,43 +150,43 @@
 	if v.Over != nil {
 		defer func() { v.Over(taken, kind) }()
 	}
-	c, f := t.read(r, &v, body, arrived)
+	c, f := t.read(r, &v, &engine.Message{Body: body, Free: free}, arrived)
 	if f != nil {
 		return t.refuse(r, f)
 	}
 	taken = true
-	w := t.conn.watch(func() { v.Engine.Leave(c) })
+	t.look.start(func() { v.Engine.Leave(c) })
 	a := v.Engine.Do(c)
-	w.stop()
+	t.look.stop()
 	kind = a.Kind
 	return t.answer(r, a) // also where the caller seems to have left: one half-closed may still read
 }
 
 // readBody reads a body whole, in bounded time.
-func (t *talk) readBody(r *http.Request) ([]byte, *Refusal) {
+func (t *talk) readBody(r *http.Request) (body []byte, free func(), f *Refusal) {
 	n := r.ContentLength
 	expects := r.Header.Get("Expect")
 	switch {
 	case n > engine.MaxBody:
-		return nil, improper(http.StatusRequestEntityTooLarge, "the body is too long")
+		return nil, nil, improper(http.StatusRequestEntityTooLarge, "the body is too long")
 	case expects != "" && expects != "100-continue":
-		return nil, improper(http.StatusExpectationFailed, "Expect: 100-continue is all that is known")
+		return nil, nil, improper(http.StatusExpectationFailed, "Expect: 100-continue is all that is known")
 	case n <= 0:
-		return nil, nil
+		return nil, nil, nil
 	}
 	if err := t.conn.SetReadDeadline(after(t.bodyTimeout)); err != nil {
-		return nil, improper(http.StatusBadRequest, "the body can't be read")
+		return nil, nil, improper(http.StatusBadRequest, "the body can't be read")
 	}
 	if expects != "" {
 		if _, err := io.WriteString(t.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, improper(http.StatusBadRequest, "the body can't be read")
+			return nil, nil, improper(http.StatusBadRequest, "the body can't be read")
 		}
 	}
-	body, err := t.in.body(int(n))
+	body, free, err := t.in.body(int(n))
 	if err != nil {
-		return nil, improper(http.StatusBadRequest, "the body can't be read")
+		return nil, nil, improper(http.StatusBadRequest, "the body can't be read")
 	}
-	return body, nil
+	return body, free, nil
 }
 
 // refuse answers a request that nobody serves. What is no proper request ends its connection: whatever follows on it, the
@@ -234,8 +229,7 @@
 
 var now date
 
-func (d *date) get() string {
-	at := time.Now()
+func (d *date) get(at time.Time) string {
 	s := d.latest.Load()
 	if s == nil || s.second != at.Unix() {
 		s = &stamp{at.Unix(), at.UTC().Format(http.TimeFormat)}
@@ -258,6 +252,7 @@
 
 // write writes an answer and tells whether the connection goes on. A request that could not be read is nil.
 func (t *talk) write(r *http.Request, status int, h http.Header, body []byte, end bool) bool {
+	at := time.Now()
 	end = end || r == nil || r.Close || t.ending.Load()
 	old := r != nil && !r.ProtoAtLeast(1, 1)
 	t.out = append(t.out[:0], "HTTP/1.1 "...)
@@ -266,7 +261,7 @@
 	if date := h["Date"]; len(date) == 1 { // an endpoint's own
 		t.out = append(t.out, date[0]...)
 	} else {
-		t.out = append(t.out, now.get()...)
+		t.out = append(t.out, now.get(at)...)
 	}
 	t.out = append(t.out, "\r\n"...)
 	_ = h.WriteSubset(appender{&t.out}, framing)
@@ -290,8 +285,11 @@
 		body = nil
 	}
 	// Bounded, so that a caller that does not read can't hold a connection for good.
-	if t.conn.Conn.SetWriteDeadline(after(writeTimeout)) != nil {
-		return false
+	if at.Sub(t.writesFrom) > writeSlack {
+		if t.conn.Conn.SetWriteDeadline(at.Add(writeSlack+writeTimeout)) != nil {
+			return false
+		}
+		t.writesFrom = at
 	}
 	var err error
 	if len(body) <= firstBuffer {
@@ -303,41 +301,71 @@
 	return err == nil && !end
 }
 
-// watch is a look-out for a caller that leaves before its answer is there.
+// watch is a look-out for a caller that leaves before its answer is there. It serves one request after the other.
 type watch struct {
 	conn  net.Conn
+	raw   syscall.Conn // nil: there is no way to look
 	timer *time.Timer
-	done  chan struct{} // closed when a look-out that began has ended
 
 	mu    sync.Mutex
 	over  bool
-	began bool
+	leave func()
+	ended chan struct{} // closed when the look-out that began has ended; nil: none began
 }
 
-// watch calls leave when the caller ends its side of the connection. It begins after a while: most answers come before, and
+// of says whose caller is looked out for.
+func (w *watch) of(c net.Conn) {
+	w.conn = c
+	w.raw, _ = c.(syscall.Conn)
+}
+
+// start calls leave when the caller ends its side of the connection. It begins after a while: most answers come before, and
 // a look-out costs a goroutine.
-func (c *callerConn) watch(leave func()) *watch {
-	w := &watch{conn: c.Conn, done: make(chan struct{})}
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		w.over = true
-		return w
-	}
-	w.timer = time.AfterFunc(watchAfter, func() {
-		w.mu.Lock()
-		if w.over {
-			w.mu.Unlock()
-			return
-		}
-		_ = w.conn.SetReadDeadline(time.Time{}) // of one that is closed already the look-out tells
-		w.began = true
+func (w *watch) start(leave func()) {
+	if w.raw == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.over, w.leave, w.ended = false, leave, nil
+	if w.timer == nil {
+		w.timer = time.AfterFunc(watchAfter, w.begin)
+		return
+	}
+	w.timer.Reset(watchAfter)
+}
+
+// begin looks out. The timer of a request before may call it late: then this request's look-out begins early.
+func (w *watch) begin() {
+	w.mu.Lock()
+	if w.over || w.ended != nil {
 		w.mu.Unlock()
-		defer close(w.done)
-		if gone(raw) {
-			leave()
-		}
-	})
-	return w
+		return
+	}
+	_ = w.conn.SetReadDeadline(time.Time{}) // of one that is closed already the look-out tells
+	leave, ended := w.leave, make(chan struct{})
+	w.ended = ended
+	w.mu.Unlock()
+	defer close(ended)
+	if gone(w.raw) {
+		leave()
+	}
+}
+
+// stop ends the look-out.
+func (w *watch) stop() {
+	if w.raw == nil {
+		return
+	}
+	w.timer.Stop()
+	w.mu.Lock()
+	w.over, w.leave = true, nil
+	ended := w.ended
+	w.mu.Unlock()
+	if ended != nil {
+		_ = w.conn.SetReadDeadline(time.Unix(1, 0)) // the next read sets its own
+		<-ended
+	}
 }
 
 // gone waits until something comes on a connection, and tells whether that was its end. It reads nothing.
@@ -358,18 +386,3 @@
 	})
 	return left || errors.Is(err, net.ErrClosed) // cut off at the end of the daemon's time
 }
-
-// stop ends the look-out.
-func (w *watch) stop() {
-	if w.timer == nil || w.timer.Stop() {
-		return
-	}
-	w.mu.Lock()
-	w.over = true
-	began := w.began
-	w.mu.Unlock()
-	if began {
-		_ = w.conn.SetReadDeadline(time.Unix(1, 0)) // the next read sets its own
-		<-w.done
-	}
-}
--- a/internal/front/plain/server.go
+++ b/internal/front/plain/server.go
@@ -107,9 +107,9 @@
 	}
 }
 
-// read makes a call of a request, or says what is wrong with it.
-func (t *talk) read(r *http.Request, v *Visit, body []byte, arrived time.Time) (*engine.Call, *Refusal) {
-	if err := checkForm(r.Method, v.Effect, body); err != nil && !v.AnyForm {
+// read makes a call of a request, with a message that has its body, or says what is wrong with it.
+func (t *talk) read(r *http.Request, v *Visit, m *engine.Message, arrived time.Time) (*engine.Call, *Refusal) {
+	if err := checkForm(r.Method, v.Effect, m.Body); err != nil && !v.AnyForm {
 		return nil, improper(http.StatusMethodNotAllowed, err.Error())
 	}
 	id := v.ID
@@ -141,9 +141,9 @@
 	if v.Effect == tuliprock.Keyed && r.Header.Get(keyHeader) == "" { // endpoints could not drop its repeats
 		return nil, improper(http.StatusBadRequest, "Idempotency-Key: missing")
 	}
+	m.Method, m.URL, m.Host, m.Header = r.Method, r.URL, cmp.Or(r.Host, t.host), header
 	return engine.NewCall(tuliprock.Request{ID: id, Class: v.Class, Tenant: v.Tenant,
-		Deadline: v.Engine.Now() - time.Since(arrived) + wait, Repeat: r.Header.Get("Req-Retry") == "1"},
-		&engine.Message{Method: r.Method, URL: r.URL, Host: cmp.Or(r.Host, t.host), Header: header, Body: body}), nil
+		Deadline: v.Engine.Now() - time.Since(arrived) + wait, Repeat: r.Header.Get("Req-Retry") == "1"}, m), nil
 }
 
 // checkForm holds a request to the form that its class decides: what is safe is asked for with no body.
