Bear twice the factor while pressed; calm follows half a second; cold sends start apart

Forty instances and more together sent a fresh box more than its warm-up capacity, mostly within the first turn of each, over which their first sends were spread.

The factor is doubled while much of the room is used. A class's mean goes back half a second at least, so that calm is not that of the luckiest 20 answers. First sends are spread over the cold gap. Settings.ColdShare says how much of its warmth's share a cold box gets; the platform's 1.5 stays.

--- a/api.go
+++ b/api.go
@@ -120,6 +120,8 @@
 	Resolution time.Duration // how late events and timers may come
 	ColdFrom   float64       // share of its capacity that an endpoint starts with at least
 	ColdFor    time.Duration // it is warm after this time at the latest
+	ColdShare  float64       // sends to a cold endpoint, in shares of its warmth; 0: 1.5. Under 1, all balancers together stay
+	// within what it can take, however many they are and however much the others carry
 }
 
 // State is what discovery says of an endpoint.
--- a/balancer.go
+++ b/balancer.go
@@ -17,6 +17,7 @@
 	prior       = 3.0                    // samples that its kind's weight is worth beside an endpoint's own
 	kindGain    = 0.03                   // gain of a kind's weight per answer
 	factor      = 2.0                    // active while w is within this multiple of the smallest active w
+	borne       = 2.0                    // times that, while much of the room is used
 	backoffMin  = 500 * time.Millisecond // until the first trial of a dropped endpoint, at least
 	backoffMost = 8                      // longest backoff, in first backoffs
 	penaltyMost = 20.0                   // largest stretch that one sample can show
@@ -26,6 +27,7 @@
 	lagMost     = 2.0                    // weights that an endpoint passed over for its crowd may fall behind
 	late        = 3.0                    // an attempt out for this multiple of its expected time is overdue
 	meanGain    = 0.05                   // gain of recent means per answer
+	meanFor     = 0.5                    // seconds that a class's mean goes back at least
 	calmFall    = 0.02                   // gain of the calm latency per answer while the mean is below it
 	calmRise    = 60 * time.Second       // over which it gives in to a higher mean
 	calmFirst   = 1.5                    // seconds until calm is known: the first answers are the quick ones
@@ -140,7 +142,7 @@
 func (b *Balancer) renew(now time.Duration, e *endpoint, first bool) {
 	e.active = first && b.warmth(now, e) == 1
 	e.backoff = b.firstBackoff(now)
-	e.trialAt = now + seconds(b.rng.Float64()*b.turnGap(now).Seconds())
+	e.trialAt = now + seconds(b.rng.Float64()*max(b.turnGap(now), b.coldGap(now, e)).Seconds())
 	e.sum, e.samples, e.deficit = 0, 0, b.zero(e)+b.rng.Float64()
 	b.place(e)
 }
@@ -148,7 +150,7 @@
 // coldGap is the time between two sends to a cold endpoint, trials included, little more than a warm share of
 // the caller's own traffic. It guards against all callers together pushing it over.
 func (b *Balancer) coldGap(now time.Duration, e *endpoint) time.Duration {
-	return seconds(b.turnGap(now).Seconds() / (b.warmth(now, e) * coldShare))
+	return seconds(b.turnGap(now).Seconds() / (b.warmth(now, e) * cmp.Or(b.s.ColdShare, coldShare)))
 }
 
 // firstBackoff guards against quiet callers that crowd a dropped endpoint with nothing but trials.
@@ -182,12 +184,12 @@
 	} else {
 		c.tail = max(c.tail-step*(1-c.CopyShare), c.mean)
 	}
-	c.mean += (took - c.mean) * max(1/c.samples, meanGain)
+	c.mean += (took - c.mean) * max(1/c.samples, min(meanGain, gap.Seconds()/meanFor))
 	switch {
 	case c.samples < 10 || (now-c.since).Seconds() < calmFirst:
 		c.calm = c.mean
 	case c.mean < c.calm:
-		c.calm += (c.mean - c.calm) * calmFall
+		c.calm += (c.mean - c.calm) * min(calmFall, gap.Seconds()/meanFor)
 	default:
 		c.calm += (c.mean - c.calm) * min(gap.Seconds()/calmRise.Seconds(), 1)
 	}
@@ -669,11 +671,21 @@
 	old := min(math.Exp(-(now-e.sampledAt).Seconds()/memory.Seconds()), 1-1/(1/(1-alpha)-prior))
 	e.sum, e.samples, e.sampledAt = e.sum*old+stretch/e.kind.w, e.samples*old+1, now
 	b.place(e)
-	if e.active && e.w() > factor*b.smallest() {
+	if e.active && b.tooSlow(e) {
 		b.drop(now, e)
 	}
 }
 
+// tooSlow tells whether an endpoint is out of the factor. While much of the room is used, twice the factor is
+// borne: fewer endpoints would be crowded, slow in their turn, and dropped one after the other.
+func (b *Balancer) tooSlow(e *endpoint) bool {
+	most := factor
+	if float64(b.out) > overRoom*b.room {
+		most *= borne
+	}
+	return e.w() > most*b.smallest()
+}
+
 func (b *Balancer) drop(now time.Duration, e *endpoint) {
 	e.active, e.backoff = false, b.firstBackoff(now)
 	b.backOff(now, e, false)
@@ -691,7 +703,7 @@
 // tryOver ends a trial: back among the active, or out for twice as long.
 func (b *Balancer) tryOver(now time.Duration, e *endpoint, stretch float64, failed bool) {
 	e.trial, e.sum, e.samples, e.sampledAt = false, stretch/e.kind.w, 1, now
-	if failed || len(b.turns.list) > 0 && e.w() > factor*b.smallest() {
+	if failed || len(b.turns.list) > 0 && b.tooSlow(e) {
 		b.backOff(now, e, true)
 		return
 	}
--- a/internal/lab/expfile/expfile.go
+++ b/internal/lab/expfile/expfile.go
@@ -165,7 +165,7 @@
 		"fault kind": func(b *hcl.Block) { r.failure(b, e) },
 		"arm name": func(b *hcl.Block) {
 			a := lab.Arm{Name: b.Labels[0], Policy: "tuliprock"}
-			r.Body(b.Body, hclbody.Fields{"policy": &a.Policy, "run": &a.Run}, hclbody.Blocks{"class name": func(b *hcl.Block) {
+			r.Body(b.Body, hclbody.Fields{"policy": &a.Policy, "run": &a.Run, "cold_share": &a.ColdShare}, hclbody.Blocks{"class name": func(b *hcl.Block) {
 				p := lab.ClassPolicy{Class: b.Labels[0]}
 				queue, retry := -1, "after_run"
 				r.Body(b.Body, hclbody.Fields{"attempt_timeout": &p.AttemptTimeout, "attempts": &p.Attempts, "retry": &retry,
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -211,6 +211,8 @@
 	Policy string // in virtual time: tuliprock or one of rival.Names
 	Run    string // on sockets: a command that serves as DEPLOY says; empty: the policy's own
 
+	ColdShare float64 // tuliprock.Settings.ColdShare; in virtual time, and tuliprock alone goes by it
+
 	Classes []ClassPolicy // what classes may do beyond the site's rules; in virtual time, and tuliprock alone goes by it
 }
 
@@ -237,6 +239,7 @@
 
 // Apply gives settings with an arm's policies.
 func (a Arm) Apply(s tuliprock.Settings) tuliprock.Settings {
+	s.ColdShare = a.ColdShare
 	for i := range s.Classes {
 		c, p := &s.Classes[i], a.Of(s.Classes[i].Name)
 		c.AttemptTimeout, c.MaxAttempts, c.NoRerun, c.CopyAfter = p.AttemptTimeout, p.Attempts, p.NoRerun, p.CopyAfter
--- a/internal/reference/walk_test.go
+++ b/internal/reference/walk_test.go
@@ -29,6 +29,8 @@
 	lagMost     = 2.0                    // weights that an endpoint passed over for its crowd may fall behind
 	late        = 3.0                    // an attempt out for this multiple of its expected time is overdue
 	meanGain    = 0.05                   // gain of recent means per answer
+	meanFor     = 0.5                    // seconds that a class's mean goes back at least
+	borne       = 2.0                    // times the factor, while much of the room is used
 	calmFall    = 0.02                   // gain of the calm latency per answer while the mean is below it
 	calmRise    = 60 * time.Second       // over which it gives in to a higher mean
 	calmFirst   = 1.5                    // seconds until calm is known: the first answers are the quick ones
@@ -118,7 +120,7 @@
 func (b *walker) renew(now time.Duration, e *endpoint, first bool) {
 	e.active = first && b.warmth(now, e) == 1
 	e.backoff = b.firstBackoff(now)
-	e.trialAt = now + seconds(b.rng.Float64()*b.turnGap(now).Seconds())
+	e.trialAt = now + seconds(b.rng.Float64()*max(b.turnGap(now), b.coldGap(now, e)).Seconds())
 	e.sum, e.samples, e.deficit = 0, 0, b.rng.Float64()
 }
 
@@ -152,12 +154,12 @@
 	if c.mean > 0 {
 		took = min(took, penaltyMost*c.mean)
 	}
-	c.mean += (took - c.mean) * max(1/c.samples, meanGain)
+	c.mean += (took - c.mean) * max(1/c.samples, min(meanGain, gap.Seconds()/meanFor))
 	switch {
 	case c.samples < 10 || (now-c.since).Seconds() < calmFirst:
 		c.calm = c.mean
 	case c.mean < c.calm:
-		c.calm += (c.mean - c.calm) * calmFall
+		c.calm += (c.mean - c.calm) * min(calmFall, gap.Seconds()/meanFor)
 	default:
 		c.calm += (c.mean - c.calm) * min(gap.Seconds()/calmRise.Seconds(), 1)
 	}
@@ -522,11 +524,19 @@
 func (b *walker) sample(now time.Duration, e *endpoint, stretch float64) {
 	old := min(math.Exp(-(now-e.sampledAt).Seconds()/memory.Seconds()), 1-1/(1/(1-alpha)-prior))
 	e.sum, e.samples, e.sampledAt = e.sum*old+stretch/e.kind.w, e.samples*old+1, now
-	if e.active && e.w() > factor*b.smallest() {
+	if e.active && e.w() > b.most()*b.smallest() {
 		b.drop(now, e)
 	}
 }
 
+// most is the factor that is borne.
+func (b *walker) most() float64 {
+	if float64(b.out) > overRoom*b.room {
+		return factor * borne
+	}
+	return factor
+}
+
 func (b *walker) drop(now time.Duration, e *endpoint) {
 	e.active, e.backoff = false, b.firstBackoff(now)
 	b.backOff(now, e, false)
@@ -544,7 +554,7 @@
 func (b *walker) tryOver(now time.Duration, e *endpoint, stretch float64, failed bool) {
 	e.trial, e.sum, e.samples, e.sampledAt = false, stretch/e.kind.w, 1, now
 	n, w, least := b.actives()
-	if failed || n > 0 && e.w() > factor*w {
+	if failed || n > 0 && e.w() > b.most()*w {
 		b.backOff(now, e, true)
 		return
 	}
