Lab: fresh boxes measured beside their capacity, and a wrong number told

Whether many instances that share nothing stay within a fresh box's stated warm-up capacity could only be told by whether it fell over, at four times that capacity.

Reports tell for each arm the most that a fresh box was sent within the ledger's window, in multiples of its capacity then, and the time until it got an even part; experiments can expect it, take a number of repeats, and tell instances a wrong number of themselves. The daemon's pools take warm_up { share }, 0.9 unless told.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -62,6 +62,7 @@
 	DialTimeout time.Duration
 	ColdFrom    float64
 	ColdFor     time.Duration
+	ColdShare   float64 // tuliprock.Settings.ColdShare
 	Resends     tuliprock.Resends
 	TiersBelow  int
 }
--- a/internal/conf/read.go
+++ b/internal/conf/read.go
@@ -31,8 +31,10 @@
 	defaultClientWaits = 10 * time.Second
 	defaultAttempts    = 3
 	defaultAim         = time.Second
+	mostColdShare      = 4
 	defaultColdFrom    = 0.3
 	defaultColdFor     = 10 * time.Second
+	defaultColdShare   = 0.9 // the most with which no fresh server was sent too much in 8,000 plays (docs/results/fleet.md)
 	defaultTenant      = "Req-Owner"
 )
 
@@ -296,7 +298,7 @@
 }
 
 func (r *reader) pool(b *hcl.Block) {
-	p := Pool{Name: b.Labels[0], Connections: defaultPoolConns, ColdFrom: defaultColdFrom, ColdFor: defaultColdFor}
+	p := Pool{Name: b.Labels[0], Connections: defaultPoolConns, ColdFrom: defaultColdFrom, ColdFor: defaultColdFor, ColdShare: defaultColdShare}
 	if !r.name(b, p.Name) {
 		return
 	}
@@ -305,7 +307,10 @@
 		"tiers_below": &p.TiersBelow}, hclbody.Blocks{
 		"warm_up": func(b *hcl.Block) {
 			from := hclbody.Share(p.ColdFrom)
-			r.Body(b.Body, hclbody.Fields{"from": &from, "within": &p.ColdFor}, nil)
+			r.Body(b.Body, hclbody.Fields{"from": &from, "within": &p.ColdFor, "share": &p.ColdShare}, nil)
+			if p.ColdShare <= 0 || p.ColdShare > mostColdShare {
+				r.Fault(b.DefRange, "warm_up: share %g is not over 0 and up to %d: it is how much of its warmth's part a fresh server gets", p.ColdShare, mostColdShare)
+			}
 			p.ColdFrom = float64(from)
 		},
 		"retry_budget": func(b *hcl.Block) {
--- a/internal/daemon/pool.go
+++ b/internal/daemon/pool.go
@@ -83,7 +83,7 @@
 func (p *pool) settings() tuliprock.Settings {
 	return tuliprock.Settings{Seed: p.seed, Balancers: p.fleet.Instances, Index: p.fleet.Index, TiersBelow: p.conf.TiersBelow, Classes: p.classes,
 		Tenants: p.tenants, MayCancel: true, MaxRetryAfter: maxRetryAfter, Resends: p.conf.Resends, Resolution: resolution,
-		ColdFrom: p.conf.ColdFrom, ColdFor: p.conf.ColdFor}
+		ColdFrom: p.conf.ColdFrom, ColdFor: p.conf.ColdFor, ColdShare: p.conf.ColdShare}
 }
 
 func (p *pool) options() engine.Options {
--- a/internal/lab/box/box.go
+++ b/internal/lab/box/box.go
@@ -82,6 +82,7 @@
 
 	recent  []arrival // within the window of the rule on cold boxes
 	sum     float64
+	peak    float64
 	fell    bool
 	reports []reading
 	noted   time.Duration // latest refresh that the readings cover
@@ -266,8 +267,11 @@
 		b.sum -= b.recent[0].work
 		b.recent = b.recent[1:]
 	}
-	if len(b.recent) > 1 && b.sum-work > b.Budget(now) {
-		b.fell, b.down = true, true
+	if len(b.recent) > 1 {
+		b.peak = max(b.peak, b.rule.FallOver*(b.sum-work)/b.Budget(now))
+		if b.sum-work > b.Budget(now) {
+			b.fell, b.down = true, true
+		}
 	}
 }
 
@@ -276,6 +280,9 @@
 	return b.rule.FallOver * b.Capacity(now) * b.rule.FallWindow.Seconds()
 }
 
+// Peak is the most work that the box was sent within the rule's window while cold, in multiples of what it could do then.
+func (b *Box) Peak() float64 { return b.peak }
+
 // Fell tells whether the box was sent too much while cold and has fallen over.
 func (b *Box) Fell() bool { return b.fell }
 
--- a/internal/lab/expfile/expfile.go
+++ b/internal/lab/expfile/expfile.go
@@ -152,9 +152,18 @@
 		"experiment name": once(func(b *hcl.Block) {
 			e.Name = b.Labels[0]
 			var seeds []uint64
-			ok := r.Body(b.Body, hclbody.Fields{"question!": &e.Question, "duration!": &e.Duration, "warmup": &e.Warmup, "seeds": &seeds, "virtual": &e.Virtual}, nil)
-			if len(seeds) > 0 {
+			repeats := 0
+			ok := r.Body(b.Body, hclbody.Fields{"question!": &e.Question, "duration!": &e.Duration, "warmup": &e.Warmup, "seeds": &seeds, "repeats": &repeats, "virtual": &e.Virtual}, nil)
+			switch {
+			case repeats < 0 || repeats > 0 && len(seeds) > 0:
+				r.Fault(b.DefRange, "experiment: either seeds or repeats, a number of seeds from 1 on")
+			case len(seeds) > 0:
 				e.Seeds = seeds
+			case repeats > 0:
+				e.Seeds = nil
+				for seed := range uint64(repeats) {
+					e.Seeds = append(e.Seeds, seed+1)
+				}
 			}
 			if ok && (e.Duration <= 0 || e.Warmup >= e.Duration) {
 				r.Fault(b.DefRange, "experiment: the duration must be longer than the warmup")
@@ -191,7 +200,8 @@
 			x := expectation{at: b.DefRange}
 			var served, failed hclbody.Share
 			r.Body(b.Body, hclbody.Fields{"arm": &x.Arm, "rules_kept": &x.RulesKept, "served_in_time_over": &served,
-				"refused_or_failed_under": &failed, "attempts_under": &x.AttemptsUnder, "p99_under": &x.P99Under}, nil)
+				"refused_or_failed_under": &failed, "attempts_under": &x.AttemptsUnder, "p99_under": &x.P99Under,
+				"fresh_peak_under": &x.FreshUnder}, nil)
 			x.ServedOver, x.FailedUnder, x.Place = float64(served), float64(failed), hclbody.Where(b.DefRange)
 			expects = append(expects, x)
 		},
@@ -240,7 +250,7 @@
 			read(b)
 		}
 	}
-	r.Body(b.Body, hclbody.Fields{"balancers": &s.Balancers, "attempts": &s.Attempts}, hclbody.Blocks{
+	r.Body(b.Body, hclbody.Fields{"balancers": &s.Balancers, "told": &s.Told, "attempts": &s.Attempts}, hclbody.Blocks{
 		"network": once(&network, func(b *hcl.Block) {
 			var jitter hclbody.Share
 			r.Body(b.Body, hclbody.Fields{"delay": &s.Delay, "jitter": &jitter}, nil)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -28,6 +28,7 @@
 // Site is the service under test.
 type Site struct {
 	Balancers int // instances before the first tier
+	Told      int // how many they are told that they are; 0: the truth
 	Delay     time.Duration
 	Jitter    float64 // of Delay, either way
 	Roster    Roster
@@ -211,7 +212,7 @@
 	Policy string // in virtual time: tuliprock or one of rival.Names
 	Run    string // on sockets: a command that serves as DEPLOY says; empty: the policy's own
 
-	ColdShare float64 // tuliprock.Settings.ColdShare; in virtual time, and tuliprock alone goes by it
+	ColdShare float64 // tuliprock.Settings.ColdShare; tuliprock alone goes by it
 
 	Classes []ClassPolicy // what classes may do beyond the site's rules; in virtual time, and tuliprock alone goes by it
 }
@@ -256,11 +257,21 @@
 	FailedUnder   float64 // share refused or failed; 0: not asked
 	AttemptsUnder float64 // attempts for each request; 0: not asked
 	P99Under      time.Duration
-	Place         string // in the file, for messages
+	FreshUnder    float64 // peak of fresh boxes (tally.Box), in any play; 0: not asked
+	Place         string  // in the file, for messages
+}
+
+// Place gives which of how many instances before a tier one is told to be, and how many that is.
+func (s Site) Place(tier, index, count int) (told, of int) {
+	if tier == 0 && s.Told > 0 {
+		return index % s.Told, s.Told
+	}
+	return index, count
 }
 
 // Settings gives the module's settings for instance index of count before tier.
 func (s Site) Settings(tier, index, count int, seed uint64) tuliprock.Settings {
+	index, count = s.Place(tier, index, count)
 	out := tuliprock.Settings{Seed: seed, Balancers: count, Index: index, Tier: tier, TiersBelow: len(s.Tiers) - 1 - tier,
 		MaxAttempts: s.Attempts, MayCancel: true, Resolution: time.Millisecond,
 		ColdFrom: s.Tiers[tier].Box.ColdFrom, ColdFor: s.Tiers[tier].Box.ColdFor, MaxRetryAfter: 2 * time.Second}
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -136,11 +137,21 @@
 	Tenants      []Group  `json:"tenants,omitempty"`
 	Seconds      []Second `json:"seconds"`
 	Boxes        []Box    `json:"boxes"`
+	Fresh        *Fresh   `json:"fresh,omitempty"`
 	Cost         *Cost    `json:"cost,omitempty"`
 	LatenessMs   float64  `json:"lateness_ms,omitempty"` // of the rig's own sending, p99 of the worst repeat
 	Log          []string `json:"log,omitempty"`
 
 	hist *hdrhistogram.Histogram
+	full []float64 // of fresh boxes, in seconds
+}
+
+// Fresh is what became of boxes that came cold, over all repeats.
+type Fresh struct {
+	Boxes int     `json:"boxes"`
+	Peak  float64 `json:"peak"`             // the most that any one was sent within the ledger's window, in multiples of its capacity then
+	Over  int     `json:"over"`             // boxes that were sent more than that capacity
+	FullS float64 `json:"full_s,omitempty"` // median time until one carried as much as the others, in virtual time
 }
 
 // Played is one play as a driver gives it.
@@ -252,6 +263,24 @@
 		n := float64(len(a.Repeats))
 		x.P99 += (ms(p.Tally.SecondP99(s)) - x.P99) / n
 	}
+	for _, b := range p.Tally.Boxes {
+		if !b.Fresh {
+			continue
+		}
+		if a.Fresh == nil {
+			a.Fresh = &Fresh{}
+		}
+		f := a.Fresh
+		f.Boxes, f.Peak = f.Boxes+1, max(f.Peak, b.Peak)
+		if b.Peak > 1 {
+			f.Over++
+		}
+		if b.Full > 0 {
+			a.full = append(a.full, b.Full.Seconds())
+			slices.Sort(a.full)
+			f.FullS = a.full[len(a.full)/2]
+		}
+	}
 	if a.hist == nil {
 		a.hist = hdrhistogram.New(p.Tally.Latency.LowestTrackableValue(), p.Tally.Latency.HighestTrackableValue(), 3)
 		a.Log = p.Log
@@ -331,6 +360,13 @@
 			if x.AttemptsUnder > 0 && a.Attempts >= x.AttemptsUnder {
 				miss("attempts for each request: %.3f, wanted under %g", a.Attempts, x.AttemptsUnder)
 			}
+			if f := a.Fresh; x.FreshUnder > 0 && (f == nil || f.Peak >= x.FreshUnder) {
+				if f == nil {
+					miss("no fresh box came")
+				} else {
+					miss("a fresh box was sent %.2f of its capacity, wanted under %g", f.Peak, x.FreshUnder)
+				}
+			}
 			if x.P99Under > 0 && a.LatencyMs.P99 >= ms(x.P99Under) {
 				miss("p99: %.1f ms, wanted under %v", a.LatencyMs.P99, x.P99Under)
 			}
@@ -389,7 +425,11 @@
 	if r.Virtual {
 		kind = "in virtual time"
 	}
-	fmt.Fprintf(w, "%s, %s, seeds %v\n%s\n", r.Experiment, kind, r.Seeds, r.Question)
+	seeds := fmt.Sprint(r.Seeds)
+	if len(r.Seeds) > 20 {
+		seeds = fmt.Sprintf("%d of them", len(r.Seeds))
+	}
+	fmt.Fprintf(w, "%s, %s, seeds %s\n%s\n", r.Experiment, kind, seeds, r.Question)
 	if len(r.Points) == 0 {
 		r.table(w, r.Arms)
 	}
@@ -417,6 +457,12 @@
 			100*a.Share(a.ServedInTime), 100*a.Share(a.Late), 100*a.Share(a.Refused), 100*a.Share(a.Failed), a.Worth,
 			a.LatencyMs.P50, a.LatencyMs.P90, a.LatencyMs.P99, a.LatencyMs.P999, a.Attempts)
 	}
+	for i := range arms {
+		if f := arms[i].Fresh; f != nil {
+			fmt.Fprintf(w, "  %s: %d fresh boxes, sent %.2f of their capacity at most, %d of them too much; an even part after %.1f s\n",
+				arms[i].Name, f.Boxes, f.Peak, f.Over, f.FullS)
+		}
+	}
 	for i := range arms {
 		a := &arms[i]
 		for _, rule := range a.Rules {
--- a/internal/lab/rig/boxes.go
+++ b/internal/lab/rig/boxes.go
@@ -70,7 +70,7 @@
 	h := &host{r: r, tier: tier, place: place, generation: generation, name: name, listener: l, rng: lab.Rand(r.seed, "faults of "+name),
 		box:  box.New(kind, t.Box, r.e.Site.Rules, started, lab.Rand(r.seed, "box "+name)),
 		came: max(started, 0), conns: map[net.Conn]bool{}, died: make(chan struct{}), wake: make(chan struct{}),
-		stats: tally.Box{Name: name, Kind: kind.Name, Cores: kind.Cores}}
+		stats: tally.Box{Name: name, Kind: kind.Name, Cores: kind.Cores, Fresh: started >= 0}}
 	h.faults.slow = map[lab.FaultKind]float64{}
 	h.alarm = time.AfterFunc(time.Hour, h.ring)
 	r.group.Go(h.accept)
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -64,6 +64,7 @@
 
 // run is one play.
 type run struct {
+	arm     lab.Arm
 	e       *lab.Experiment
 	seed    uint64
 	program Program
@@ -106,7 +107,7 @@
 	out := report.Played{Arm: arm, Seed: seed, Tally: tally.New(e)}
 	work, stop := context.WithCancelCause(context.Background())
 	group, work2 := errgroup.WithContext(work)
-	r := &run{e: e, seed: seed, program: o.Program, within: cmp.Or(o.StartWithin, startWithin), ledger: ledger.New(e.Site.Rules, socketSlack), group: group, work: work2, stop: stop,
+	r := &run{arm: arm, e: e, seed: seed, program: o.Program, within: cmp.Or(o.StartWithin, startWithin), ledger: ledger.New(e.Site.Rules, socketSlack), group: group, work: work2, stop: stop,
 		tally: out.Tally}
 	r.zero.Store(time.Now().UnixNano())
 	defer func() {
@@ -269,7 +270,7 @@
 }
 
 func (s *sidecar) config() (Config, error) {
-	settings, err := wireSettings(s.r.e.Site, s.tier, s.index, s.count)
+	settings, err := wireSettings(s.r.e.Site, s.r.arm, s.tier, s.index, s.count)
 	if err != nil {
 		return Config{}, err
 	}
@@ -610,7 +611,7 @@
 		if until == 0 {
 			until = now
 		}
-		b.Up = until - h.came
+		b.Up, b.Peak = until-h.came, h.box.Peak()
 		r.tally.Boxes = append(r.tally.Boxes, b)
 		if h.tier == 0 {
 			r.tally.Attempts += b.Arrivals
@@ -620,7 +621,8 @@
 }
 
 // wireSettings words a site's settings as the platform does (WIRE, Read your settings).
-func wireSettings(site lab.Site, tier, index, count int) (json.RawMessage, error) {
+func wireSettings(site lab.Site, arm lab.Arm, tier, index, count int) (json.RawMessage, error) {
+	index, count = site.Place(tier, index, count)
 	us := func(d time.Duration) int64 { return d.Microseconds() }
 	var lanes []map[string]any
 	for _, c := range site.Classes {
@@ -644,6 +646,6 @@
 		"Discovery": "automatic", "ResolutionUs": 1000,
 		"Permissions": map[string]any{"MayCancel": true, "MayProbe": false, "RetryAfter": true, "TryLimit": site.Attempts,
 			"MaxRetryAfterUs": us(2 * time.Second), "ConnIdleUs": us(x.ConnIdle), "DialTimeoutUs": us(250 * time.Millisecond)},
-		"Rules": map[string]any{"ColdFrom": x.ColdFrom, "ColdUs": us(x.ColdFor)},
+		"Rules": map[string]any{"ColdFrom": x.ColdFrom, "ColdUs": us(x.ColdFor), "ColdShare": arm.ColdShare},
 	})
 }
--- a/internal/lab/tally/tally.go
+++ b/internal/lab/tally/tally.go
@@ -59,6 +59,10 @@
 	Busy       float64 // core seconds
 	Cores      int
 	Up         time.Duration // for how long it was there
+
+	Fresh bool          // it came cold while the play went on
+	Peak  float64       // most work that it was sent within the ledger's window while cold, in multiples of its capacity then
+	Full  time.Duration // from its coming until it got as much as the others, in virtual time; 0: never seen
 }
 
 // Tally counts one play. It is not safe for concurrent use.
--- a/internal/lab/virtual/host.go
+++ b/internal/lab/virtual/host.go
@@ -40,6 +40,8 @@
 	delay    time.Duration
 	vanished bool
 	stalled  bool
+
+	arrived []int64 // by second, of a fresh box
 }
 
 // errand is a request in a box.
@@ -120,6 +122,36 @@
 	h.reschedule()
 }
 
+// count notes when requests come, for h.full.
+func (h *host) count(now time.Duration) {
+	add := func(list []int64, i int) []int64 {
+		for len(list) <= i {
+			list = append(list, 0)
+		}
+		list[i]++
+		return list
+	}
+	second := int(now / time.Second)
+	h.w.arrived[h.tier] = add(h.w.arrived[h.tier], second)
+	if h.stats.Fresh {
+		h.arrived = add(h.arrived, second)
+	}
+}
+
+// fullPart is the share of an even part from which a fresh box carries as much as the others.
+const fullPart = 0.85
+
+// full is how long after its coming a fresh box first had an even part of its tier's requests for a whole second.
+func (h *host) full() time.Duration {
+	boxes := float64(len(h.w.boxes[h.tier]))
+	for s := int(h.came/time.Second) + 1; s < len(h.arrived); s++ {
+		if float64(h.arrived[s])*boxes >= fullPart*float64(h.w.arrived[h.tier][s]) {
+			return time.Duration(s)*time.Second - h.came
+		}
+	}
+	return 0
+}
+
 // reach takes a request whose last byte has come.
 func (h *host) reach(now time.Duration, a *attempt) {
 	if h.vanished {
@@ -138,6 +170,7 @@
 		work += t.Box.ConnWork.Seconds()
 	}
 	h.stats.Arrivals++
+	h.count(now)
 	h.w.ledger.Reached(ledger.Arrival{ID: q.id, Box: h.name, First: now, Last: now, Digest: 1,
 		Cold: h.box.Warmth(now) < 1, Work: work})
 	if h.failing > 0 && h.rng.Float64() < h.failing || h.box.Fails() {
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -62,6 +62,7 @@
 	silent    bool
 	late      time.Duration
 	published [][]tuliprock.Endpoint // by tier: what the roster knows
+	arrived   [][]int64              // by tier and second: requests that reached boxes
 	events    int
 	logs      []string
 }
@@ -122,6 +123,7 @@
 			until = w.now
 		}
 		b.Up = until - h.came
+		b.Peak, b.Full = h.box.Peak(), h.full()
 		w.tally.Boxes = append(w.tally.Boxes, b)
 	}
 	return &Result{Tally: w.tally, Verdicts: w.ledger.Close(w.now), Played: w.now, Events: w.events, Logs: w.logs}
@@ -132,6 +134,7 @@
 	site := w.e.Site
 	w.boxes = make([][]*host, len(site.Tiers))
 	w.published = make([][]tuliprock.Endpoint, len(site.Tiers))
+	w.arrived = make([][]int64, len(site.Tiers))
 	var make1 []func()
 	for t, tier := range site.Tiers {
 		w.boxes[t] = make([]*host, tier.Boxes)
@@ -297,7 +300,7 @@
 	name := traffic.Name(t, place, generation)
 	h := &host{party: party{rank: lab.Seed(w.seed, name)}, w: w, tier: tier, place: place, generation: generation, name: name,
 		rng: lab.Rand(w.seed, "faults of "+name), came: max(started, 0), slow: map[lab.FaultKind]float64{}}
-	h.stats = tally.Box{Name: name, Kind: kind.Name, Cores: kind.Cores}
+	h.stats = tally.Box{Name: name, Kind: kind.Name, Cores: kind.Cores, Fresh: started >= 0}
 	h.box = box.New(kind, t.Box, w.e.Site.Rules, started, lab.Rand(w.seed, "box "+name))
 	w.byName[name] = h
 	if tier+1 < len(w.e.Site.Tiers) && t.Calls > 0 {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -37,6 +37,7 @@
 	Rules struct {
 		AskWithinUs, ColdUs int64
 		ColdFrom            float64
+		ColdShare           float64 // ours: the platform says nothing of it
 	}
 }
 
@@ -61,7 +62,7 @@
 		AskWithin: us(c.Rules.AskWithinUs), MaxAttempts: c.Permissions.TryLimit,
 		MayCancel:  c.Permissions.MayCancel,
 		MayProbe:   c.Permissions.MayProbe && c.Report.How != "silent" && slices.Contains(c.Report.Fields, "active"),
-		Resolution: us(c.ResolutionUs), ColdFrom: c.Rules.ColdFrom, ColdFor: us(c.Rules.ColdUs),
+		Resolution: us(c.ResolutionUs), ColdFrom: c.Rules.ColdFrom, ColdShare: c.Rules.ColdShare, ColdFor: us(c.Rules.ColdUs),
 	}
 	if c.Permissions.RetryAfter {
 		s.MaxRetryAfter = us(c.Permissions.MaxRetryAfterUs)
