--- a/api.go
+++ b/api.go
@@ -149,6 +149,7 @@
 	Failed   bool // an ask failed or a subscription broke: nothing is said of endpoints
 	Complete bool // endpoints not listed are gone; otherwise only the listed ones have changed
 	Entries  []Endpoint
+	Others   int // ready endpoints that other balancers send to, and this one is told nothing of
 }
 
 // Request is something a client wants done.
--- a/balancer.go
+++ b/balancer.go
@@ -68,7 +68,7 @@
 		}
 		return
 	}
-	b.askGap, b.askAt = 0, 0
+	b.askGap, b.askAt, b.others = 0, 0, l.Others
 	first := b.known == 0
 	touched, started := b.merge(l)
 	for _, e := range started {
@@ -98,7 +98,7 @@
 // What it is told has changed decides how much there is to do.
 func (b *Balancer) fill(touched []*endpoint) {
 	n, callers := float64(b.ready), float64(max(b.s.Balancers, 1))
-	size := math.Floor(max(b.size, tableLeast, tableShare*n/callers))
+	size := math.Floor(max(b.size, tableLeast, tableShare*(n+float64(b.others))/callers))
 	if 2*size >= n {
 		if !b.whole {
 			b.whole, b.table, b.sorted, touched = true, nil, nil, b.endpoints
--- /dev/null
+++ b/cmd/rowancart/subsets.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"errors"
+
+	"github.com/spf13/cobra"
+
+	"tuliprock/internal/lab/subsets"
+)
+
+func newSubsets() *cobra.Command {
+	instances, boxes, size := []int{10, 100, 1000}, []int{10, 100, 1000, 10000}, 20
+	cmd := &cobra.Command{
+		Use:   "subsets",
+		Short: "Measure ways to choose which boxes each instance of a fleet sends to",
+		Long: `Measure ways to choose which boxes each instance of a fleet sends to.
+
+Least and most are the instances on the box that has fewest and most, in multiples of the mean, after five boxes have been
+replaced one after another. The other columns are how many boxes change for an instance, in the mean, when one box is replaced,
+and when an instance comes. Where instances are few, parts are larger than asked for, so that each box has three instances.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			for _, n := range append(append([]int{size}, instances...), boxes...) {
+				if n < 1 {
+					return errors.New("instances, boxes and part are numbers from 1 on")
+				}
+			}
+			subsets.Report(cmd.OutOrStdout(), instances, boxes, size)
+			return nil
+		},
+	}
+	cmd.Flags().IntSliceVar(&instances, "instances", instances, "sizes of fleets")
+	cmd.Flags().IntSliceVar(&boxes, "boxes", boxes, "sizes of pools")
+	cmd.Flags().IntVar(&size, "part", size, "boxes that one instance sends to")
+	return cmd
+}
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -28,7 +28,8 @@
 // Fleet says which of how many instances this one is.
 type Fleet struct {
 	Instances int
-	Index     int // from 0
+	Index     int    // from 0
+	Name      string // stands for the index where that is not told; empty: it is
 }
 
 // Limits are what the process is held to.
@@ -57,6 +58,7 @@
 type Pool struct {
 	Name        string
 	Roster      Roster
+	Subset      int           // endpoints that one instance sends to; 0: all
 	Connections int           // open at once, to all endpoints of the pool
 	ConnIdle    time.Duration // endpoints close a connection that has been idle for this long
 	DialTimeout time.Duration
--- a/internal/conf/read.go
+++ b/internal/conf/read.go
@@ -32,6 +32,7 @@
 	defaultAttempts    = 3
 	defaultAim         = time.Second
 	mostColdShare      = 4
+	leastSubset        = 3 // with fewer, one slow endpoint and one that restarts are all there is
 	defaultColdFrom    = 0.3
 	defaultColdFor     = 10 * time.Second
 	defaultColdShare   = 0.9 // the most with which no fresh server was sent too much in 8,000 plays (docs/results/fleet.md)
@@ -228,9 +229,15 @@
 
 func (r *reader) fleet(b *hcl.Block) {
 	f := &r.Fleet
-	if r.Body(b.Body, hclbody.Fields{"instances!": &f.Instances, "index": &f.Index}, nil) && (f.Instances < 1 || f.Index >= f.Instances) {
+	if !r.Body(b.Body, hclbody.Fields{"instances": &f.Instances, "index": &f.Index, "name": &f.Name}, nil) {
+		return
+	}
+	if f.Instances < 1 || f.Index >= f.Instances {
 		r.Fault(b.DefRange, "fleet: index %d is not among %d instances", f.Index, f.Instances)
 	}
+	if _, index := r.Places[&f.Index]; index && f.Name != "" {
+		r.Fault(r.Places[&f.Name], "name: the index stands already; the name is for instances that know none")
+	}
 }
 
 func (r *reader) limits(b *hcl.Block) {
@@ -304,7 +311,7 @@
 	}
 	rosters := 0
 	ok := r.Body(b.Body, hclbody.Fields{"connections": &p.Connections, "connection_idle": &p.ConnIdle, "dial_timeout": &p.DialTimeout,
-		"tiers_below": &p.TiersBelow}, hclbody.Blocks{
+		"tiers_below": &p.TiersBelow, "subset": &p.Subset}, hclbody.Blocks{
 		"warm_up": func(b *hcl.Block) {
 			from := hclbody.Share(p.ColdFrom)
 			r.Body(b.Body, hclbody.Fields{"from": &from, "within": &p.ColdFor, "share": &p.ColdShare}, nil)
@@ -332,6 +339,9 @@
 	if ok && rosters == 0 {
 		r.Fault(b.DefRange, "pool %q has no roster", p.Name)
 	}
+	if _, said := r.Places[&p.Subset]; ok && said && p.Subset < leastSubset {
+		r.Fault(r.Places[&p.Subset], "subset: %d leaves too little to choose from; %d is the least", p.Subset, leastSubset)
+	}
 	if ok && p.Connections < leastPoolConns {
 		r.Fault(r.Places[&p.Connections], "connections: a pool needs %d at least", leastPoolConns)
 	}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -507,6 +508,48 @@
 	}
 }
 
+func TestAnInstanceSendsToItsPartOnly(t *testing.T) {
+	var boxes []*testpeer.Endpoint
+	var addrs []string
+	for range 9 {
+		boxes = append(boxes, testpeer.New(t, answer("200 OK", "", "x")))
+		addrs = append(addrs, boxes[len(boxes)-1].Addr)
+	}
+	text := func(index, size int) string {
+		return fmt.Sprintf("fleet {\n instances = 9\n index = %d\n}\n", index) + aRoute("x", "/x", "look", "one", "") +
+			strings.Replace(aPool("one", addrs...), "{\n", fmt.Sprintf("{\n subset = %d\n", size), 1)
+	}
+	was := make([]int32, len(boxes))
+	// asked sends requests until so many boxes have had some, and more to see that it remains at that.
+	asked := func(s *site, want int) (places []int) {
+		for more, end := 0, time.Now().Add(patience); more < 50 && time.Now().Before(end); {
+			s.ask(http.MethodGet, "/x")
+			for i, b := range boxes {
+				if n := b.Requests.Load(); n > was[i] {
+					if was[i] = n; !slices.Contains(places, i) {
+						places = append(places, i)
+					}
+				}
+			}
+			if len(places) >= want {
+				more++
+			}
+		}
+		return places
+	}
+	s := serve(t, text(0, 3))
+	first := asked(s, 3)
+	s.reload(text(1, 3)) // half way round the ring
+	second := asked(s, 3)
+	if len(first) != 3 || len(second) != 3 || slices.ContainsFunc(first, func(i int) bool { return slices.Contains(second, i) }) {
+		t.Errorf("asked %v, and at another place %v", first, second)
+	}
+	s.reload(text(1, 5))
+	if third := asked(s, 5); len(third) != 5 {
+		t.Errorf("of a part of 5, %v were asked", third)
+	}
+}
+
 func TestTheAdminListenerTellsAndReloads(t *testing.T) {
 	e := testpeer.New(t, testpeer.Says(testpeer.Served, true))
 	s := serve(t, aPool("one", e.Addr)+aRoute("x", "/x", "look", "one", ""))
--- a/internal/daemon/pool.go
+++ b/internal/daemon/pool.go
@@ -13,6 +13,7 @@
 	"tuliprock/internal/engine"
 	"tuliprock/internal/roster/file"
 	"tuliprock/internal/roster/platform"
+	"tuliprock/internal/subset"
 )
 
 const (
@@ -36,6 +37,11 @@
 	tenants []tuliprock.Tenant
 	follow  *following // nil: a static roster
 
+	part struct {
+		sync.Mutex // also from one message's filtering to its delivery: they must not overtake each other
+		*subset.Filter
+	}
+
 	mu  sync.Mutex
 	bad string // why the roster as it is now is not in force
 }
@@ -68,10 +74,30 @@
 func (d *Daemon) newPool(c conf.Pool, g *generation) *pool {
 	p := &pool{name: c.Name, conf: c, seed: d.seed, log: d.log.With("pool", c.Name)}
 	p.fleet, p.tenants = g.conf.Fleet, g.conf.Tenants
-	p.engine = engine.New(p.settings(), static(c.Roster), p.options())
+	p.part.Filter = subset.NewFilter(p.place())
+	p.engine = engine.New(p.settings(), p.part.Hear(static(c.Roster)), p.options())
 	return p
 }
 
+// place is this instance's part of the endpoints.
+func (p *pool) place() subset.Part {
+	out := subset.Part{Place: subset.Place(p.seed), Size: p.conf.Subset, Instances: p.fleet.Instances}
+	switch {
+	case p.fleet.Name != "":
+		out.Place = subset.PlaceNamed(p.fleet.Name)
+	case p.fleet.Instances > 1: // else it knows nothing of others, and may have some
+		out.Place = subset.PlaceOf(p.fleet.Index)
+	}
+	return out
+}
+
+// hear passes on what the roster says of this instance's part.
+func (p *pool) hear(m engine.Members) {
+	p.part.Lock()
+	defer p.part.Unlock()
+	p.engine.Heard(p.part.Hear(m))
+}
+
 func static(r conf.Roster) engine.Members {
 	out := engine.Members{Complete: true}
 	for _, e := range r.Static {
@@ -120,14 +146,19 @@
 	}
 	p.classes, p.fleet, p.tenants = classes, g.conf.Fleet, g.conf.Tenants
 	if p.cancel == nil { // nobody handles events yet: the engine is made anew
-		p.engine = engine.New(p.settings(), static(p.conf.Roster), p.options())
+		p.part.Filter = subset.NewFilter(p.place())
+		p.engine = engine.New(p.settings(), p.part.Hear(static(p.conf.Roster)), p.options())
 		return
 	}
 	p.engine.Configure(p.settings(), p.options())
+	p.part.Lock()
+	p.part.Resize(p.place())
+	p.part.Unlock()
+	p.hear(engine.Members{}) // what follows from a new place or size
 	if reflect.DeepEqual(was.Roster, p.conf.Roster) {
 		return
 	}
-	p.engine.Heard(static(p.conf.Roster)) // one that is followed elsewhere has made the pool another
+	p.hear(static(p.conf.Roster)) // one that is followed elsewhere has made the pool another
 }
 
 // followRoster follows a roster that changes by itself.
@@ -135,9 +166,9 @@
 	var run func(ctx context.Context)
 	switch r := p.conf.Roster; {
 	case r.File != "":
-		run = func(ctx context.Context) { file.Follow(ctx, r.File, p.engine.Heard, p.told, p.log) }
+		run = func(ctx context.Context) { file.Follow(ctx, r.File, p.hear, p.told, p.log) }
 	case r.Platform != "":
-		run = platform.New(platform.Options{Addr: r.Platform, Deliver: func(m platform.Members) { p.engine.Heard(m.Engine()) },
+		run = platform.New(platform.Options{Addr: r.Platform, Deliver: func(m platform.Members) { p.hear(m.Engine()) },
 			Failed: p.engine.RosterFailed, Log: p.log}).Run
 	default:
 		return
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -88,6 +88,7 @@
 type Members struct {
 	Complete bool
 	Members  []Member
+	Others   int // ready endpoints beside those that are ever listed to this instance
 }
 
 // Options are what an engine needs beside the module's settings.
@@ -315,7 +316,7 @@
 
 // list tells the module and the connections what a roster says.
 func (l *Engine) list(now time.Duration, m Members) {
-	out := tuliprock.List{Complete: m.Complete}
+	out := tuliprock.List{Complete: m.Complete, Others: m.Others}
 	listed := map[string]bool{}
 	for _, s := range m.Members {
 		out.Entries = append(out.Entries, tuliprock.Endpoint{ID: s.ID, State: s.State, Zone: s.Zone, Kind: s.Kind,
--- a/internal/lab/expfile/expfile.go
+++ b/internal/lab/expfile/expfile.go
@@ -174,7 +174,15 @@
 		"fault kind": func(b *hcl.Block) { r.failure(b, e) },
 		"arm name": func(b *hcl.Block) {
 			a := lab.Arm{Name: b.Labels[0], Policy: "tuliprock"}
-			r.Body(b.Body, hclbody.Fields{"policy": &a.Policy, "run": &a.Run, "cold_share": &a.ColdShare}, hclbody.Blocks{"class name": func(b *hcl.Block) {
+			r.Body(b.Body, hclbody.Fields{"policy": &a.Policy, "run": &a.Run, "cold_share": &a.ColdShare}, hclbody.Blocks{"retry_budget": func(b *hcl.Block) {
+				var share hclbody.Share
+				var floor hclbody.Rate
+				a.Resends.Most = 10
+				if r.Body(b.Body, hclbody.Fields{"share!": &share, "floor": &floor, "most": &a.Resends.Most}, nil) && a.Resends.Most < 1 {
+					r.Fault(b.DefRange, "retry_budget: most: %g never lets a retry through; 1 is the least", a.Resends.Most)
+				}
+				a.Resends.Share, a.Resends.Rate = float64(share), float64(floor)
+			}, "class name": func(b *hcl.Block) {
 				p := lab.ClassPolicy{Class: b.Labels[0]}
 				queue, retry := -1, "after_run"
 				r.Body(b.Body, hclbody.Fields{"attempt_timeout": &p.AttemptTimeout, "attempts": &p.Attempts, "retry": &retry,
@@ -201,7 +209,7 @@
 			var served, failed hclbody.Share
 			r.Body(b.Body, hclbody.Fields{"arm": &x.Arm, "rules_kept": &x.RulesKept, "served_in_time_over": &served,
 				"refused_or_failed_under": &failed, "attempts_under": &x.AttemptsUnder, "p99_under": &x.P99Under,
-				"fresh_peak_under": &x.FreshUnder}, nil)
+				"fresh_peak_under": &x.FreshUnder, "resends_under": &x.ResendsUnder}, nil)
 			x.ServedOver, x.FailedUnder, x.Place = float64(served), float64(failed), hclbody.Where(b.DefRange)
 			expects = append(expects, x)
 		},
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -214,6 +214,8 @@
 
 	ColdShare float64 // tuliprock.Settings.ColdShare; tuliprock alone goes by it
 
+	Resends tuliprock.Resends // tuliprock alone goes by it, in virtual time
+
 	Classes []ClassPolicy // what classes may do beyond the site's rules; in virtual time, and tuliprock alone goes by it
 }
 
@@ -240,7 +242,7 @@
 
 // Apply gives settings with an arm's policies.
 func (a Arm) Apply(s tuliprock.Settings) tuliprock.Settings {
-	s.ColdShare = a.ColdShare
+	s.ColdShare, s.Resends = a.ColdShare, a.Resends
 	for i := range s.Classes {
 		c, p := &s.Classes[i], a.Of(s.Classes[i].Name)
 		c.AttemptTimeout, c.MaxAttempts, c.NoRerun, c.CopyAfter = p.AttemptTimeout, p.Attempts, p.NoRerun, p.CopyAfter
@@ -257,6 +259,7 @@
 	FailedUnder   float64 // share refused or failed; 0: not asked
 	AttemptsUnder float64 // attempts for each request; 0: not asked
 	P99Under      time.Duration
+	ResendsUnder  float64 // attempts beyond the first for each request, in virtual time; 0: not asked
 	FreshUnder    float64 // peak of fresh boxes (tally.Box), in any play; 0: not asked
 	Place         string  // in the file, for messages
 }
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -131,6 +131,7 @@
 	Worth        float64  `json:"worth"`
 	LatencyMs    Latency  `json:"latency_ms"`
 	Attempts     float64  `json:"attempts_per_request"`
+	Resends      float64  `json:"resends_per_request,omitempty"` // attempts beyond the first, in virtual time
 	Rules        []Rule   `json:"rules"`
 	Repeats      []Repeat `json:"repeats"`
 	Classes      []Group  `json:"classes"`
@@ -187,7 +188,7 @@
 		var total tally.Counts
 		classes := make([]tally.Counts, len(e.Site.Classes))
 		tenants := make([]tally.Counts, len(e.Site.Tenants))
-		var requests, attempts int64
+		var requests, attempts, sent int64
 		var worth, earned float64
 		for _, p := range plays {
 			if p.Arm.Name != a.Name {
@@ -206,11 +207,15 @@
 				tenants[i].Add(t.Tenants[i])
 			}
 			requests, attempts = requests+t.Requests, attempts+t.Attempts
+			sent += t.Sent
 			worth, earned = worth+t.Worth, earned+t.Earned
 		}
 		arm.Offered, arm.ServedInTime, arm.Late = total.Offered(), total[tally.InTime], total[tally.Late]
 		arm.Refused, arm.Failed = total[tally.Refused], total[tally.Failed]
 		arm.Attempts, arm.Worth = ratio(float64(attempts), float64(requests)), ratio(earned, worth)
+		if sent > 0 {
+			arm.Resends = ratio(float64(attempts-sent), float64(requests))
+		}
 		if arm.hist != nil {
 			arm.LatencyMs = Latency{quantile(arm.hist, 50), quantile(arm.hist, 90), quantile(arm.hist, 99), quantile(arm.hist, 99.9)}
 		}
@@ -360,6 +365,9 @@
 			if x.AttemptsUnder > 0 && a.Attempts >= x.AttemptsUnder {
 				miss("attempts for each request: %.3f, wanted under %g", a.Attempts, x.AttemptsUnder)
 			}
+			if x.ResendsUnder > 0 && a.Resends >= x.ResendsUnder {
+				miss("attempts beyond the first for each request: %.3f, wanted under %g", a.Resends, x.ResendsUnder)
+			}
 			if f := a.Fresh; x.FreshUnder > 0 && (f == nil || f.Peak >= x.FreshUnder) {
 				if f == nil {
 					miss("no fresh box came")
--- /dev/null
+++ b/internal/lab/subsets/subsets.go
@@ -0,0 +1,220 @@
+// Package subsets measures ways to choose which endpoints each instance of a fleet sends to: how evenly instances fall on
+// endpoints, and how much moves when an endpoint or an instance comes or goes.
+package subsets
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tuliprock"
+	"tuliprock/internal/engine"
+	"tuliprock/internal/subset"
+)
+
+// chooser gives the endpoints of each instance after each change of the list.
+type chooser func(boxes []string) [][]string
+
+// ways are what is compared, ours first.
+var ways = []struct {
+	name string
+	make func(instances, size int) chooser
+}{
+	{"ring, numbered", func(instances, size int) chooser { return keeping(instances, size, subset.PlaceOf) }},
+	{"ring, named", func(instances, size int) chooser { return keeping(instances, size, named) }},
+	{"ring, forgetful", func(instances, size int) chooser {
+		return func(boxes []string) [][]string { return ringed(instances, size, boxes) }
+	}},
+	{"rendezvous", func(instances, size int) chooser {
+		return func(boxes []string) [][]string { return rendezvous(instances, size, boxes) }
+	}},
+	{"rounds", func(instances, size int) chooser {
+		return func(boxes []string) [][]string { return rounds(instances, size, boxes) }
+	}},
+}
+
+func named(i int) subset.Place { return subset.PlaceNamed(name("instance", i)) }
+
+// keeping is what the daemon does: each instance goes by its filter, which keeps what has not moved far.
+func keeping(instances, size int, place func(int) subset.Place) chooser {
+	filters := make([]*subset.Filter, instances)
+	held := make([]map[string]bool, instances)
+	for i := range filters {
+		filters[i], held[i] = subset.NewFilter(subset.Part{Place: place(i), Size: size}), map[string]bool{}
+	}
+	known := map[string]bool{}
+	return func(boxes []string) [][]string {
+		var m engine.Members
+		now := map[string]bool{}
+		for _, b := range boxes {
+			if now[b] = true; !known[b] {
+				m.Members = append(m.Members, engine.Member{ID: b})
+			}
+		}
+		for b := range known { // the order makes no difference to the filter
+			if !now[b] {
+				m.Members = append(m.Members, engine.Member{ID: b, State: tuliprock.Gone})
+			}
+		}
+		known = now
+		out := make([][]string, instances)
+		for i, f := range filters {
+			for _, e := range f.Hear(m).Members {
+				if e.State == tuliprock.Gone {
+					delete(held[i], e.ID)
+				} else {
+					held[i][e.ID] = true
+				}
+			}
+			out[i] = slices.Collect(maps.Keys(held[i]))
+		}
+		return out
+	}
+}
+
+// ringed is the ring without memory.
+func ringed(instances, size int, boxes []string) [][]string {
+	var r subset.Ring
+	for _, b := range boxes {
+		r.Add(b)
+	}
+	out := make([][]string, instances)
+	for i := range out {
+		out[i] = r.From(subset.PlaceOf(i), size)
+	}
+	return out
+}
+
+// rendezvous gives each instance the endpoints that score highest with its name (Thaler and Ravishankar, 1996): a random
+// subset that needs no number and moves as little as can be.
+func rendezvous(instances, size int, boxes []string) [][]string {
+	type scored struct {
+		score uint64
+		id    string
+	}
+	out := make([][]string, instances)
+	all := make([]scored, len(boxes))
+	for i := range out {
+		salt := xxhash.Sum64String(name("instance", i))
+		for j, b := range boxes {
+			x := (xxhash.Sum64String(b) ^ salt) * 0x9e3779b97f4a7c15 // mixed once more: both hashes are even already
+			all[j] = scored{(x ^ x>>29) * 0xbf58476d1ce4e5b9, b}
+		}
+		slices.SortFunc(all, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
+		for _, s := range all[:min(size, len(all))] {
+			out[i] = append(out[i], s.id)
+		}
+	}
+	return out
+}
+
+// rounds is deterministic subsetting as "Site Reliability Engineering" has it (chapter 20): instances go in rounds, each with
+// a shuffled list of its own that its instances share out.
+func rounds(instances, size int, boxes []string) [][]string {
+	out := make([][]string, instances)
+	count := max(len(boxes)/size, 1)
+	var list []string
+	for i := range out {
+		if i%count == 0 {
+			list = slices.Clone(boxes)
+			rand.New(rand.NewPCG(uint64(i/count), 20)).Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
+		}
+		from := i % count * size
+		out[i] = list[from:min(from+size, len(list))]
+	}
+	return out
+}
+
+func name(what string, i int) string { return what + "-" + strconv.Itoa(i) }
+
+// Figures are what one way comes to.
+type Figures struct {
+	Way            string
+	Least, Most    float64 // instances on the endpoint that has fewest and most, in multiples of the mean
+	Replaced       float64 // endpoints that change for an instance when one goes and then another comes, in the mean
+	NewInstance    float64 // and when an instance comes, for those that were there
+	ReplacedNeeded float64 // what no way can do without
+}
+
+const replacements = 5 // one after another, over which Replaced is the mean
+
+// Measure compares the ways for a fleet.
+func Measure(instances, boxes, size int) []Figures {
+	size = subset.Part{Size: size, Instances: instances}.Of(boxes)
+	var all []string
+	for i := range boxes {
+		all = append(all, name("box", i))
+	}
+	var out []Figures
+	for _, w := range ways {
+		f := Figures{Way: w.name, ReplacedNeeded: 2 * float64(size) / float64(boxes)}
+		if size == boxes {
+			f.ReplacedNeeded = 1 // nobody can take another for the one that goes
+		}
+		choose := w.make(instances, size)
+		first := choose(all)
+		f.NewInstance = moved(first, w.make(instances+1, size)(all))
+		list, parts := slices.Clone(all), first
+		for i := range min(replacements, boxes) {
+			for _, next := range [][]string{slices.Delete(slices.Clone(list), 0, 1), append(slices.Clone(list[1:]), name("other", i))} {
+				now := choose(next)
+				f.Replaced += moved(parts, now) / float64(min(replacements, boxes))
+				list, parts = next, now
+			}
+		}
+		load := map[string]int{}
+		held := 0
+		for _, p := range parts {
+			for _, id := range p {
+				load[id]++
+				held++
+			}
+		}
+		mean := float64(held) / float64(boxes)
+		f.Least = float64(instances)
+		for _, id := range list {
+			f.Least, f.Most = min(f.Least, float64(load[id])/mean), max(f.Most, float64(load[id])/mean)
+		}
+		out = append(out, f)
+	}
+	return out
+}
+
+// moved is how many endpoints an instance has that it did not have, in the mean.
+func moved(before, after [][]string) float64 {
+	n := 0
+	for i, old := range before {
+		had := make(map[string]bool, len(old))
+		for _, id := range old {
+			had[id] = true
+		}
+		for _, id := range after[i] {
+			if !had[id] {
+				n++
+			}
+		}
+	}
+	return float64(n) / float64(len(before))
+}
+
+// Report measures fleets of all these sizes and writes a table.
+func Report(w io.Writer, instances, boxes []int, size int) {
+	fmt.Fprintf(w, "%9s %6s %5s  %-15s %7s %7s %9s %9s\n", "instances", "boxes", "part", "way", "least", "most", "replaced", "instance")
+	for _, n := range instances {
+		for _, b := range boxes {
+			for i, f := range Measure(n, b, size) {
+				if i == 0 {
+					part := subset.Part{Size: size, Instances: n}.Of(b)
+					fmt.Fprintf(w, "%9d %6d %5d  %-15s %7s %7s %9.2f %9.2f\n", n, b, part, "(needed)", "", "", f.ReplacedNeeded, 0.0)
+				}
+				fmt.Fprintf(w, "%9s %6s %5s  %-15s %7.2f %7.2f %9.2f %9.2f\n", "", "", "", f.Way, f.Least, f.Most, f.Replaced, f.NewInstance)
+			}
+		}
+	}
+}
--- a/internal/lab/tally/tally.go
+++ b/internal/lab/tally/tally.go
@@ -77,6 +77,7 @@
 	perS     []*hdrhistogram.Histogram // the same by second
 	Requests int64                     // that instances before the first tier took, retries included
 	Attempts int64                     // that they made
+	Sent     int64                     // requests of which there was an attempt, in virtual time
 	Worth    float64                   // of all that was asked
 	Earned   float64                   // of what was served in time
 }
--- a/internal/lab/virtual/instance.go
+++ b/internal/lab/virtual/instance.go
@@ -360,6 +360,9 @@
 	c.attempts = append(c.attempts, a)
 	if in.tier == 0 {
 		w.tally.Attempts++
+		if a.n == 0 {
+			w.tally.Sent++
+		}
 	}
 	if c.over || h == nil {
 		a.later(now, tuliprock.NotSent)
--- a/state.go
+++ b/state.go
@@ -111,6 +111,7 @@
 	byName    map[string]*endpoint
 	endpoints []*endpoint // in order of first mention; gone ones are cleared away now and then
 	known     int         // of them, not gone
+	others    int         // ready, and for other balancers alone
 	ready     int         // of them, neither draining nor gone
 	lists     int         // heard so far
 	whole     bool        // the table is all that are ready
@@ -235,7 +236,7 @@
 // share is how many endpoints there are for this caller alone. Behind the first tier callers are many and each has
 // little to send: there it is all of them.
 func (b *Balancer) share() float64 {
-	n := float64(b.known)
+	n := float64(b.known + b.others)
 	if b.s.Tier == 0 {
 		n /= float64(max(b.s.Balancers, 1))
 	}
