--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -16,6 +16,7 @@
 	Text      []byte // of the file
 	Admin     string // host:port, or unix: and a path; empty: none
 	Fleet     Fleet
+	State     State
 	Limits    Limits
 	Listeners []Listener
 	Classes   []Class
@@ -32,6 +33,13 @@
 	Name      string // stands for the index where that is not told; empty: it is
 }
 
+// State says where a daemon keeps what it has learned, for its successor.
+type State struct {
+	Path     string        // of the file; empty: nothing is kept
+	Every    time.Duration // it is written this often, and at the end
+	FreshFor time.Duration // an older one is not used
+}
+
 // Limits are what the process is held to.
 type Limits struct {
 	Memory      int64 // bytes
--- a/internal/conf/read.go
+++ b/internal/conf/read.go
@@ -32,6 +32,9 @@
 	defaultAttempts    = 3
 	defaultAim         = time.Second
 	mostColdShare      = 4
+	defaultStateEvery  = 10 * time.Second
+	defaultStateFresh  = 5 * time.Minute
+	leastStateEvery    = time.Second
 	leastSubset        = 3 // with fewer, one slow endpoint and one that restarts are all there is
 	defaultColdFrom    = 0.3
 	defaultColdFor     = 10 * time.Second
@@ -117,6 +120,7 @@
 		"admin":         once(r.admin),
 		"fleet":         once(r.fleet),
 		"limits":        once(r.limits),
+		"state":         once(r.state),
 		"listener name": r.listener,
 		"class name":    r.class,
 		"tenant name":   r.tenant,
@@ -240,6 +244,23 @@
 	}
 }
 
+func (r *reader) state(b *hcl.Block) {
+	s := &r.State
+	s.Every, s.FreshFor = defaultStateEvery, defaultStateFresh
+	if !r.Body(b.Body, hclbody.Fields{"path!": &s.Path, "every": &s.Every, "fresh_for": &s.FreshFor}, nil) {
+		return
+	}
+	if s.Path == "" {
+		r.Fault(r.Places[&s.Path], "path: a file is wanted")
+	}
+	if s.Every < leastStateEvery {
+		r.Fault(r.Places[&s.Every], "every: %v writes the disk more often than anything changes; %v is the least", s.Every, leastStateEvery)
+	}
+	if s.FreshFor < s.Every {
+		r.Fault(b.DefRange, "state: what is written every %v is never fresh for %v", s.Every, s.FreshFor)
+	}
+}
+
 func (r *reader) limits(b *hcl.Block) {
 	l := &r.Limits
 	memory := hclbody.Size(l.Memory)
--- a/internal/conf/show.go
+++ b/internal/conf/show.go
@@ -79,7 +79,7 @@
 	}
 	parts("route", bare(c.Routes), bare(next.Routes))
 	whole := func(c *Config) map[string]any {
-		return map[string]any{"admin": c.Admin, "fleet": c.Fleet, "limits": c.Limits, "tenants": c.Tenants}
+		return map[string]any{"admin": c.Admin, "fleet": c.Fleet, "state": c.State, "limits": c.Limits, "tenants": c.Tenants}
 	}
 	parts("block", whole(c), whole(next))
 	return out
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,6 +43,10 @@
 	work  context.Context // ends what serves; nil before Run, guarded by reloading
 	parts errgroup.Group  // what has been started and must have ended before Run returns
 
+	old    map[string]*poolState // by pool: what the process before this one knew; only until Run
+	oldAgo time.Duration
+	keeper keeper
+
 	idle chan struct{} // a generation that is not in force has lost its last user
 
 	reloading sync.Mutex // one reload at a time; guards the next three
@@ -100,6 +104,7 @@
 		gates: map[string]*gate{}, idle: make(chan struct{}, 1), applied: o.Applied}
 	d.meter = newMeter(d)
 	d.warn(c)
+	d.recall(c.State)
 	opened, err := d.open(c)
 	if err != nil {
 		return nil, err
@@ -210,6 +215,7 @@
 	}
 	d.mu.RUnlock()
 	known := d.now.conf.Text
+	d.old = nil // pools that come later begin anew
 	d.reloading.Unlock()
 
 	if d.admin != nil {
@@ -233,6 +239,11 @@
 		}
 		return nil
 	})
+	kept := make(chan struct{})
+	go func() {
+		defer close(kept)
+		d.keep(following)
+	}()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -247,11 +258,11 @@
 		}
 	}
 	unfollow()
-	return d.drain(stop)
+	return d.drain(stop, kept)
 }
 
 // drain ends the callers' side, answers what was taken, and then ends the rest.
-func (d *Daemon) drain(stop context.CancelFunc) error {
+func (d *Daemon) drain(stop context.CancelFunc, kept <-chan struct{}) error {
 	d.reloading.Lock()
 	d.stopping = true
 	d.reloading.Unlock()
@@ -280,6 +291,7 @@
 		}
 		<-finished
 	}
+	d.keepLast(kept)
 	stop()
 	if d.admin != nil {
 		d.admin.Close()
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -508,6 +508,99 @@
 	}
 }
 
+// end stops a daemon and waits for its end.
+func (s *site) end() {
+	s.stop()
+	if err := <-s.ended; err != nil {
+		s.t.Error(err)
+	}
+}
+
+func TestASuccessorBeginsWithWhatWasLearned(t *testing.T) {
+	quick := testpeer.New(t, answer("200 OK", "", "quick"))
+	broken := testpeer.New(t, answer("500 Oh", "", ""))
+	state := filepath.Join(t.TempDir(), "state")
+	text := fmt.Sprintf("state {\n path = %q\n}\n", state) + aPool("one", quick.Addr, broken.Addr) + aRoute("x", "/x", "look", "one", "")
+	s := serve(t, text)
+	for range 30 {
+		s.ask(http.MethodGet, "/x")
+	}
+	s.end()
+	before := broken.Requests.Load()
+	if before == 0 {
+		t.Fatal("the broken endpoint was never asked")
+	}
+	s = serve(t, text)
+	for range 5 {
+		s.ask(http.MethodGet, "/x")
+	}
+	if n := broken.Requests.Load() - before; n > 1 { // a trial that was due
+		t.Errorf("%d of 5 requests went to an endpoint that was known to fail", n)
+	}
+	s.end()
+
+	if err := os.WriteFile(state, []byte("not a snapshot\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s = serve(t, text)
+	if status, _, _ := s.ask(http.MethodGet, "/x"); status != http.StatusOK {
+		t.Errorf("with a broken snapshot: %d", status)
+	}
+	if n := strings.Count(s.log.String(), "starting without what was learned"); n != 1 {
+		t.Errorf("told %d times:\n%s", n, s.log)
+	}
+}
+
+func TestARosterThatIsSilentAtTheStartStandsAsItWas(t *testing.T) {
+	box, other := testpeer.New(t, answer("200 OK", "", "old")), testpeer.New(t, answer("200 OK", "", "new"))
+	dir := t.TempDir()
+	roster := filepath.Join(dir, "roster.json")
+	list := func(id, addr string) {
+		if err := os.WriteFile(roster, fmt.Appendf(nil, `{"endpoints": [{"id": %q, "address": %q, "state": "ready"}]}`, id, addr), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	text := fmt.Sprintf("state {\n path = %q\n}\npool \"one\" {\n roster \"file\" {\n  path = %q\n }\n}\n", filepath.Join(dir, "state"), roster) +
+		aRoute("x", "/x", "look", "one", "")
+	s := serve(t, text)
+	list("a", box.Addr)
+	until(t, func() bool { _, body, _ := s.ask(http.MethodGet, "/x"); return body == "old" })
+	s.end()
+	if err := os.Remove(roster); err != nil {
+		t.Fatal(err)
+	}
+	s = serve(t, text)
+	if status, body, _ := s.ask(http.MethodGet, "/x"); status != http.StatusOK || body != "old" {
+		t.Errorf("with no roster: %d %q", status, body)
+	}
+	list("b", other.Addr)
+	until(t, func() bool { _, body, _ := s.ask(http.MethodGet, "/x"); return body == "new" })
+}
+
+func TestAStateThatCannotBeKeptIsToldOnceAndHarmsNothing(t *testing.T) {
+	box := testpeer.New(t, answer("200 OK", "", "x"))
+	s := serve(t, fmt.Sprintf("state {\n path = %q\n every = \"1s\"\n}\n", filepath.Join(t.TempDir(), "none", "state"))+
+		aPool("one", box.Addr)+aRoute("x", "/x", "look", "one", ""))
+	until(t, func() bool { return strings.Contains(s.log.String(), "what was learned is not kept") })
+	if status, _, _ := s.ask(http.MethodGet, "/x"); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	s.end() // it is tried once more
+	if n := strings.Count(s.log.String(), "what was learned is not kept"); n != 1 {
+		t.Errorf("told %d times:\n%s", n, s.log)
+	}
+}
+
+// until waits for something to come true.
+func until(t *testing.T, what func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !what(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("it has not come")
+		}
+	}
+}
+
 func TestAnInstanceSendsToItsPartOnly(t *testing.T) {
 	var boxes []*testpeer.Endpoint
 	var addrs []string
--- a/internal/daemon/pool.go
+++ b/internal/daemon/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"reflect"
 	"slices"
@@ -29,6 +30,9 @@
 	log    *slog.Logger
 	seed   uint64
 
+	old    *poolState // what the process before this one knew; nil: nothing
+	oldAgo time.Duration
+
 	// The daemon's reloads guard these:
 	work    context.Context
 	conf    conf.Pool
@@ -74,11 +78,27 @@
 func (d *Daemon) newPool(c conf.Pool, g *generation) *pool {
 	p := &pool{name: c.Name, conf: c, seed: d.seed, log: d.log.With("pool", c.Name)}
 	p.fleet, p.tenants = g.conf.Fleet, g.conf.Tenants
-	p.part.Filter = subset.NewFilter(p.place())
-	p.engine = engine.New(p.settings(), p.part.Hear(static(c.Roster)), p.options())
+	p.old, p.oldAgo = d.old[c.Name], d.oldAgo
+	p.make()
 	return p
 }
 
+// make makes the engine, which begins where the snapshot says.
+func (p *pool) make() {
+	known := static(p.conf.Roster)
+	if len(known.Members) == 0 && p.old != nil { // the roster has yet to speak
+		known.Members = p.old.Roster
+		p.mu.Lock()
+		p.bad = fmt.Sprintf("it is as a snapshot told it, %v old at the start", p.oldAgo.Round(time.Second))
+		p.mu.Unlock()
+	}
+	p.part.Filter = subset.NewFilter(p.place())
+	p.engine = engine.New(p.settings(), p.part.Hear(known), p.options())
+	if p.old != nil {
+		p.engine.Recall(p.old.Memory, p.oldAgo)
+	}
+}
+
 // place is this instance's part of the endpoints.
 func (p *pool) place() subset.Part {
 	out := subset.Part{Place: subset.Place(p.seed), Size: p.conf.Subset, Instances: p.fleet.Instances}
@@ -96,6 +116,7 @@
 	p.part.Lock()
 	defer p.part.Unlock()
 	p.engine.Heard(p.part.Hear(m))
+	p.told(nil)
 }
 
 func static(r conf.Roster) engine.Members {
@@ -146,8 +167,7 @@
 	}
 	p.classes, p.fleet, p.tenants = classes, g.conf.Fleet, g.conf.Tenants
 	if p.cancel == nil { // nobody handles events yet: the engine is made anew
-		p.part.Filter = subset.NewFilter(p.place())
-		p.engine = engine.New(p.settings(), p.part.Hear(static(p.conf.Roster)), p.options())
+		p.make()
 		return
 	}
 	p.engine.Configure(p.settings(), p.options())
--- /dev/null
+++ b/internal/daemon/state.go
@@ -0,0 +1,132 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"tuliprock/internal/conf"
+	"tuliprock/internal/engine"
+	"tuliprock/internal/snapshot"
+)
+
+const (
+	leastSave = time.Second     // how often it is looked whether a snapshot is due
+	lastSave  = 2 * time.Second // for the one at the end: a disk that hangs must not hold the process
+)
+
+// poolState is what a snapshot holds of a pool.
+type poolState struct {
+	Memory engine.Memory
+	Roster []engine.Member // all that the roster told of, this instance's part or not
+}
+
+// state is what a snapshot holds.
+type state struct{ Pools map[string]*poolState }
+
+// keeper writes snapshots. One goroutine at a time uses it.
+type keeper struct {
+	path    string // that the lock is for
+	lock    io.Closer
+	savedAt time.Time
+	failing bool // and that was told
+}
+
+// recall reads what the process before this one knew. What cannot be used is told in one line.
+func (d *Daemon) recall(c conf.State) {
+	if c.Path == "" {
+		return
+	}
+	var s state
+	ago, err := snapshot.Read(c.Path, time.Now(), c.FreshFor, &s)
+	switch {
+	case errors.Is(err, snapshot.ErrNone):
+	case err != nil:
+		d.log.Warn("starting without what was learned", "err", err)
+	default:
+		d.old, d.oldAgo = s.Pools, ago
+		d.log.Info("starting with what was learned", "path", c.Path, "ago", ago, "pools", len(s.Pools))
+	}
+}
+
+// keep writes snapshots until ctx ends.
+func (d *Daemon) keep(ctx context.Context) {
+	tick := time.NewTicker(leastSave)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			d.save(false)
+		}
+	}
+}
+
+// keepLast writes the last snapshot, once keep has ended.
+func (d *Daemon) keepLast(kept <-chan struct{}) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		<-kept
+		d.save(true)
+	}()
+	select {
+	case <-done:
+	case <-time.After(lastSave):
+		d.log.Warn("what was learned last is not kept: the disk does not answer")
+	}
+}
+
+// save writes a snapshot if one is due, or at the end. While another process holds the file it is left to that: a predecessor
+// that is still at work. One that fails is tried again at the next turn, and told once.
+func (d *Daemon) save(end bool) {
+	d.mu.RLock()
+	c, pools := d.now.conf.State, d.now.pools
+	d.mu.RUnlock()
+	k := &d.keeper
+	if k.path != c.Path {
+		k.release()
+		k.path = c.Path
+	}
+	if c.Path == "" || !end && time.Since(k.savedAt) < c.Every {
+		return
+	}
+	err := k.write(c.Path, pools)
+	k.savedAt = time.Now()
+	switch {
+	case err != nil && !k.failing:
+		k.failing = true
+		d.log.Warn("what was learned is not kept", "err", err)
+	case err == nil && k.failing:
+		k.failing = false
+		d.log.Info("what was learned is kept again", "path", c.Path)
+	}
+	if end {
+		k.release()
+	}
+}
+
+func (k *keeper) write(path string, pools map[string]*pool) (err error) {
+	if k.lock == nil {
+		if k.lock, err = snapshot.Hold(path); err != nil {
+			return err
+		}
+	}
+	s := state{Pools: map[string]*poolState{}}
+	for name, p := range pools {
+		p.part.Lock()
+		all := p.part.All()
+		p.part.Unlock()
+		s.Pools[name] = &poolState{Memory: p.engine.Memory(), Roster: all}
+	}
+	return snapshot.Write(path, time.Now(), s)
+}
+
+func (k *keeper) release() {
+	if k.lock != nil {
+		k.lock.Close()
+		k.lock = nil
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -4,8 +4,10 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -113,22 +115,24 @@
 	mu       sync.Mutex // guards the rest
 	balancer tuliprock.Events
 	settle   func(now time.Duration, s tuliprock.Settings)
+	learned  func(now time.Duration) tuliprock.Learned
+	recall   func(now time.Duration, l tuliprock.Learned, ago time.Duration)
 	mayCall  bool // attempts can be called off: then the goroutine in Do may make them, and is free again when the answer is due
 	alarm    *time.Timer
 	rings    time.Duration // when the alarm is set to
 	ended    bool
 	calls    map[string]*Call
 	taken    recent // ids of requests, answered ones included
-	members  map[string]bool
+	members  map[string]Member
 	timers   []time.Duration           // sorted
 	later    []func(now time.Duration) // events that arose within a Host method
 }
 
 // New returns an engine that knows the members given, the first that the module hears of. Run does the work.
 func New(s tuliprock.Settings, known Members, o Options) *Engine {
-	l := &Engine{clock: clock{time.Now()}, done: make(chan struct{}), mayCall: s.MayCancel, upstream: newUpstream(o), ask: o.Subscribe, log: o.Log, calls: map[string]*Call{}, members: map[string]bool{}}
+	l := &Engine{clock: clock{time.Now()}, done: make(chan struct{}), mayCall: s.MayCancel, upstream: newUpstream(o), ask: o.Subscribe, log: o.Log, calls: map[string]*Call{}, members: map[string]Member{}}
 	b := tuliprock.New(l.clock.now(), s, host{l})
-	l.balancer, l.settle = b, b.Configure
+	l.balancer, l.settle, l.learned, l.recall = b, b.Configure, b.Learned, b.Recall
 	l.alarm = time.AfterFunc(time.Hour, func() { l.post(l.ring) })
 	l.rings = l.clock.now() + time.Hour
 	l.list(l.clock.now(), known)
@@ -200,6 +204,39 @@
 	})
 }
 
+// Memory is what an engine knows that a successor can begin with.
+type Memory struct {
+	Learned tuliprock.Learned
+	Members []Member
+}
+
+// Memory gives what is known now.
+func (l *Engine) Memory() Memory {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Memory{Learned: l.learned(l.clock.now()), Members: slices.SortedFunc(maps.Values(l.members), func(x, y Member) int {
+		return cmp.Compare(x.ID, y.ID)
+	})}
+}
+
+// Recall takes up what an engine before this one knew so long ago. Members are not believed: the roster says who they are. An
+// endpoint that has another address, or has started since, is another one of which nothing is known.
+func (l *Engine) Recall(m Memory, ago time.Duration) {
+	l.post(func(now time.Duration) {
+		was := map[string]Member{}
+		for _, e := range m.Members {
+			was[e.ID] = e
+		}
+		same := m.Learned
+		same.Endpoints = slices.DeleteFunc(slices.Clone(m.Learned.Endpoints), func(e tuliprock.LearnedEndpoint) bool {
+			old, known := was[e.ID]
+			is, listed := l.members[e.ID]
+			return !known || !listed || old.Addr != is.Addr || old.StartedMs != is.StartedMs
+		})
+		l.recall(now, same, ago)
+	})
+}
+
 // Stats is what an engine holds at a moment.
 type Stats struct {
 	Calls       int `json:"calls"`       // taken, not yet done with
@@ -326,7 +363,7 @@
 			l.remove(s.ID)
 			continue
 		}
-		l.members[s.ID] = true
+		l.members[s.ID] = s
 		l.upstream.setMember(s.ID, s.Addr, s.State == tuliprock.Ready)
 	}
 	if m.Complete {
--- a/internal/lab/expfile/expfile.go
+++ b/internal/lab/expfile/expfile.go
@@ -174,7 +174,7 @@
 		"fault kind": func(b *hcl.Block) { r.failure(b, e) },
 		"arm name": func(b *hcl.Block) {
 			a := lab.Arm{Name: b.Labels[0], Policy: "tuliprock"}
-			r.Body(b.Body, hclbody.Fields{"policy": &a.Policy, "run": &a.Run, "cold_share": &a.ColdShare}, hclbody.Blocks{"retry_budget": func(b *hcl.Block) {
+			r.Body(b.Body, hclbody.Fields{"policy": &a.Policy, "run": &a.Run, "cold_share": &a.ColdShare, "snapshot": &a.Snapshot}, hclbody.Blocks{"retry_budget": func(b *hcl.Block) {
 				var share hclbody.Share
 				var floor hclbody.Rate
 				a.Resends.Most = 10
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -214,6 +214,8 @@
 
 	ColdShare float64 // tuliprock.Settings.ColdShare; tuliprock alone goes by it
 
+	Snapshot bool // an instance that starts again begins with what it had learned; in virtual time, tuliprock alone
+
 	Resends tuliprock.Resends // tuliprock alone goes by it, in virtual time
 
 	Classes []ClassPolicy // what classes may do beyond the site's rules; in virtual time, and tuliprock alone goes by it
--- a/internal/lab/virtual/instance.go
+++ b/internal/lab/virtual/instance.go
@@ -94,6 +94,9 @@
 	calls  map[string]*call
 	idle   map[*host][]idle
 	rings  time.Duration
+
+	learned   tuliprock.Learned // when it was killed
+	learnedAt time.Duration
 }
 
 // idle is a connection that waits for its next request.
@@ -128,6 +131,9 @@
 		w.ledger.Told(now, in.name, e.ID, e.State, e.Started > 0)
 	}
 	in.policy.EndpointList(zero+now, tuliprock.List{Complete: true, Entries: list})
+	if b, ok := in.policy.(*tuliprock.Balancer); ok && w.arm.Snapshot && in.starts > 1 {
+		b.Recall(zero+now, in.learned, now-in.learnedAt)
+	}
 	if in.starts == 1 {
 		w.instances = append(w.instances, in)
 	}
@@ -139,6 +145,9 @@
 		return
 	}
 	in.down = true
+	if b, ok := in.policy.(*tuliprock.Balancer); ok {
+		in.learned, in.learnedAt = b.Learned(zero+now), now
+	}
 	in.life++
 	in.w.ledger.Killed(in.name)
 	for h, conns := range in.idle { // boxes forget them: the order does not matter
--- a/internal/subset/filter.go
+++ b/internal/subset/filter.go
@@ -1,6 +1,7 @@
 package subset
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -108,6 +109,11 @@
 	return out
 }
 
+// All gives all endpoints that the roster has told of, in the order of their ids.
+func (f *Filter) All() []engine.Member {
+	return slices.SortedFunc(maps.Values(f.all), func(x, y engine.Member) int { return cmp.Compare(x.ID, y.ID) })
+}
+
 // choose gives the part as it is now.
 func (f *Filter) choose() []string {
 	size := f.part.Of(f.ring.Len())
--- /dev/null
+++ b/learned.go
@@ -0,0 +1,116 @@
+package tuliprock
+
+// What a Balancer hands on to a successor, which begins where it stood instead of with no knowledge. No decision is made in
+// this file.
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Learned is what a Balancer has learned. It holds no instants: clocks differ from process to process.
+type Learned struct {
+	Works     []LearnedWork
+	Kinds     []LearnedKind
+	Endpoints []LearnedEndpoint
+	Room      float64 // calls that may be out
+}
+
+// LearnedWork is what calls of one kind of work take.
+type LearnedWork struct {
+	Name       string
+	Calm, Mean float64 // seconds
+	Samples    float64
+	For        time.Duration // since the first answer
+}
+
+// LearnedKind is what the endpoints of one kind show.
+type LearnedKind struct {
+	Name       string
+	W, Samples float64
+}
+
+// LearnedEndpoint is how one endpoint compares with its kind.
+type LearnedEndpoint struct {
+	ID           string
+	Sum, Samples float64 // as of now
+	Errors       float64
+	Active       bool
+}
+
+// sane tells whether numbers are such as a Balancer can have: no others must come in from a file.
+func sane(numbers ...float64) bool {
+	for _, n := range numbers {
+		if math.IsNaN(n) || n < 0 || n > 1e12 {
+			return false
+		}
+	}
+	return true
+}
+
+// fadedBy is what is left of a sample after some time.
+func fadedBy(d time.Duration) float64 { return math.Exp(-max(d, 0).Seconds() / memory.Seconds()) }
+
+// Learned gives what has been learned by now.
+func (b *Balancer) Learned(now time.Duration) Learned {
+	l := Learned{Room: b.room}
+	for _, w := range b.works {
+		if w.samples > 0 {
+			l.Works = append(l.Works, LearnedWork{Name: w.name, Calm: w.calm, Mean: w.mean, Samples: w.samples, For: now - w.since})
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.kinds)) {
+		if k := b.kinds[name]; k.samples > 0 {
+			l.Kinds = append(l.Kinds, LearnedKind{Name: name, W: k.w, Samples: k.samples})
+		}
+	}
+	for _, e := range b.endpoints {
+		if e.State == Ready && b.warmth(now, e) == 1 {
+			left := fadedBy(now - e.sampledAt)
+			l.Endpoints = append(l.Endpoints, LearnedEndpoint{ID: e.ID, Sum: e.sum * left, Samples: e.samples * left, Errors: e.errors,
+				Active: e.active})
+		}
+	}
+	return l
+}
+
+// Recall takes up what another Balancer had learned so long ago, as far as this one has learned nothing of it. It is meant to
+// follow the first EndpointList. What is cold, or has been used, stays as it is; endpoints that were dropped wait for a trial,
+// unless that would leave none.
+func (b *Balancer) Recall(now time.Duration, l Learned, ago time.Duration) {
+	for _, in := range l.Works {
+		for _, w := range b.works {
+			if w.name == in.Name && w.samples == 0 && in.Calm > 0 && sane(in.Calm, in.Mean, in.Samples) && in.For >= 0 {
+				w.calm, w.mean, w.samples, w.since, w.at = in.Calm, in.Mean, in.Samples, max(now-in.For, 0), now
+			}
+		}
+	}
+	for _, in := range l.Kinds {
+		if k := b.kinds[in.Name]; k != nil && k.samples == 0 && in.W > 0 && sane(in.W, in.Samples) {
+			k.w, k.samples = in.W, in.Samples
+			for _, e := range b.endpoints {
+				if e.kind == k {
+					b.place(e)
+				}
+			}
+		}
+	}
+	left, active := fadedBy(ago), len(b.turns.list)
+	for _, in := range l.Endpoints {
+		e := b.byName[in.ID]
+		if e == nil || e.State != Ready || e.samples > 0 || b.warmth(now, e) < 1 || !sane(in.Sum, in.Samples, in.Errors) || in.Errors > 1 {
+			continue
+		}
+		e.sum, e.samples, e.sampledAt = in.Sum*left, in.Samples*left, now
+		b.err(e, in.Errors-e.errors)
+		if b.place(e); !in.Active && e.active && e.in && active > 1 {
+			active--
+			b.drop(now, e)
+		}
+	}
+	if l.Room > 0 && sane(l.Room) && b.out == 0 {
+		b.room = max(l.Room, b.share())
+	}
+}
--- /dev/null
+++ b/learned_test.go
@@ -0,0 +1,111 @@
+package tuliprock
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// silent is a Host that does nothing.
+type silent struct{ sent map[string]string }
+
+func (s *silent) Send(id, endpoint string, _ time.Duration) { s.sent[id] = endpoint }
+func (s *silent) Cancel(string, int)                        {}
+func (s *silent) Refuse(string, time.Duration)              {}
+func (s *silent) Fail(string)                               {}
+func (s *silent) Probe(string)                              {}
+func (s *silent) Subscribe()                                {}
+func (s *silent) Timer(time.Duration)                       {}
+func (s *silent) Log(string)                                {}
+
+var (
+	learnedSettings = Settings{Classes: []Class{{Name: "look", Aim: time.Second}}, ColdFrom: 0.3, ColdFor: 10 * time.Second}
+	learnedList     = List{Complete: true, Entries: []Endpoint{{ID: "a"}, {ID: "b"}, {ID: "c"}}}
+)
+
+// learnedFrom plays a Balancer before three endpoints, of which c is slow.
+func learnedFrom(t *testing.T) (Learned, time.Duration) {
+	t.Helper()
+	h := &silent{sent: map[string]string{}}
+	now := time.Hour
+	b := New(now, learnedSettings, h)
+	b.EndpointList(now, learnedList)
+	for i := range 200 {
+		id := string(rune('0'+i%10)) + string(rune('a'+i/10))
+		now += 50 * time.Millisecond
+		b.Request(now, Request{ID: id, Class: "look", Deadline: now + 5*time.Second})
+		took := 20 * time.Millisecond
+		if h.sent[id] == "c" {
+			took = 400 * time.Millisecond
+		}
+		b.Outcome(now+took, Outcome{ID: id, Endpoint: h.sent[id], Result: OK, Took: took, Final: true})
+		now += took
+	}
+	return b.Learned(now), now
+}
+
+func TestASuccessorKnowsWhatItsPredecessorKnew(t *testing.T) {
+	l, _ := learnedFrom(t)
+	h := &silent{sent: map[string]string{}}
+	now := 3 * time.Hour // by another clock
+	b := New(now, learnedSettings, h)
+	b.EndpointList(now, learnedList)
+	b.Recall(now, l, time.Second)
+	if got := b.Learned(now); len(got.Works) != 1 || got.Works[0].Calm != l.Works[0].Calm || got.Room != l.Room {
+		t.Errorf("recalled %+v of %+v", got, l)
+	}
+	if c := b.byName["c"]; c.active || !b.byName["a"].active || !b.byName["b"].active {
+		t.Errorf("active: a %v, b %v, c %v", b.byName["a"].active, b.byName["b"].active, c.active)
+	}
+	for _, id := range []string{"1", "2", "3", "4"} {
+		b.Request(now, Request{ID: id, Class: "look", Deadline: now + 5*time.Second})
+		if h.sent[id] == "c" {
+			t.Errorf("request %s goes to the slow endpoint", id)
+		}
+	}
+}
+
+func TestWhatIsColdOrKnownBetterIsNotRecalled(t *testing.T) {
+	l, _ := learnedFrom(t)
+	now := 3 * time.Hour
+	b := New(now, learnedSettings, &silent{sent: map[string]string{}})
+	b.EndpointList(now, List{Complete: true, Entries: []Endpoint{{ID: "a", Started: now - time.Second}, {ID: "c"}}})
+	b.Recall(now, l, time.Second)
+	if a := b.byName["a"]; a.samples != 0 {
+		t.Errorf("the restarted endpoint has %g samples", a.samples)
+	}
+	if !b.byName["c"].active {
+		t.Error("the only warm endpoint is dropped")
+	}
+}
+
+// Whatever a file says, the module's numbers stay such as it can have, and it goes on.
+func TestRecallTakesNoHarm(t *testing.T) {
+	number := rapid.OneOf(rapid.Float64(), rapid.SampledFrom([]float64{math.NaN(), math.Inf(1), -1, 0, 1e300}))
+	rapid.Check(t, func(t *rapid.T) {
+		h := &silent{sent: map[string]string{}}
+		now := time.Hour
+		b := New(now, learnedSettings, h)
+		b.EndpointList(now, learnedList)
+		l := Learned{Room: number.Draw(t, "room"),
+			Works: []LearnedWork{{Name: "look", Calm: number.Draw(t, "calm"), Mean: number.Draw(t, "mean"), Samples: number.Draw(t, "n"),
+				For: time.Duration(rapid.Int64().Draw(t, "for"))}},
+			Kinds: []LearnedKind{{W: number.Draw(t, "w"), Samples: number.Draw(t, "of kind")}}}
+		for _, id := range []string{"a", "b", "b", "nobody"} {
+			l.Endpoints = append(l.Endpoints, LearnedEndpoint{ID: id, Sum: number.Draw(t, "sum"), Samples: number.Draw(t, "samples"),
+				Errors: number.Draw(t, "errors"), Active: rapid.Bool().Draw(t, "active")})
+		}
+		b.Recall(now, l, time.Duration(rapid.Int64().Draw(t, "ago")))
+		for _, e := range b.endpoints {
+			if w := e.w(); math.IsNaN(w) || math.IsInf(w, 0) || w < 0 || !sane(e.errors, e.samples) {
+				t.Fatalf("%s has weight %g of %+v", e.ID, w, l)
+			}
+		}
+		b.Request(now, Request{ID: "1", Class: "look", Deadline: now + time.Hour})
+		if h.sent["1"] == "" {
+			t.Fatalf("nothing is sent after %+v", l)
+		}
+	})
+}
