Hand-over: a daemon gives its sockets to a successor and loses no request

A restart of the daemon refused connections between the end of one process and the listening of the next.

At SIGUSR2 the daemon writes its state, starts the program at its own path with descriptors of all its sockets, waits on a pipe until that serves, then answers what it has and ends. A successor that ends or is late is ended, and the old process goes on.

Test: three replacements under four clients and two programs that do not get to serve; every request answered once with its own body, the unsafe ones run once each (-race -count=6).

--- /dev/null
+++ b/cmd/rowancart/handover_test.go
@@ -0,0 +1,198 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"tuliprock/internal/testpeer"
+)
+
+// journal follows what a daemon and its successors log.
+type journal struct {
+	mu    sync.Mutex
+	lines []string
+	ended chan struct{} // closed when all of them have ended
+}
+
+func follow(r io.Reader) *journal {
+	j := &journal{ended: make(chan struct{})}
+	go func() {
+		defer close(j.ended)
+		for s := bufio.NewScanner(r); s.Scan(); {
+			j.mu.Lock()
+			j.lines = append(j.lines, s.Text())
+			j.mu.Unlock()
+		}
+	}()
+	return j
+}
+
+// wait waits for the nth line that matches, from 1, and gives what its group matched.
+func (j *journal) wait(t *testing.T, n int, pattern string) string {
+	t.Helper()
+	re, found := regexp.MustCompile(pattern), ""
+	testpeer.Until(t, pattern, func() bool {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		seen := 0
+		for _, line := range j.lines {
+			if m := re.FindStringSubmatch(line); m != nil {
+				if seen++; seen == n {
+					found = m[len(m)-1]
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return found
+}
+
+func (j *journal) process(t *testing.T, n int) *os.Process {
+	t.Helper()
+	pid, err := strconv.Atoi(j.wait(t, n, `msg="handed over" pid=(\d+)`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := os.FindProcess(pid)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// A daemon is replaced three times under load, then by programs that do not get to serve, and no request is lost.
+func TestARestartLosesNothing(t *testing.T) {
+	box := testpeer.New(t, func(nc net.Conn, r *http.Request, _ int) bool {
+		body := r.Header.Get("Req-Id")
+		fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		return true
+	})
+	dir := t.TempDir()
+	program, front := filepath.Join(dir, "rowancart"), filepath.Join(dir, "front")
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Symlink(self, program); err != nil {
+		t.Fatal(err)
+	}
+	config := filepath.Join(dir, "rowancart.hcl")
+	if err := os.WriteFile(config, fmt.Appendf(nil, "listener \"front\" {\n  address = \"unix:%s\"\n}\nstate {\n  path = %q\n}\nlimits {\n  hand_over_within = \"2s\"\n}\n"+
+		"class \"pay\" {\n  effect = \"unsafe\"\n}\npool \"one\" {\n  roster \"static\" {\n    endpoint \"a\" {\n      address = %q\n    }\n  }\n}\n"+
+		"route \"all\" {\n  path = \"/*\"\n  class = \"pay\"\n  pool = \"one\"\n}\n", front, filepath.Join(dir, "state"), box.Addr), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	errs, stderr, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := exec.Command(program, "serve", config)
+	first.Stderr = stderr
+	first.Env = append(os.Environ(), "PATH="+dir+":"+os.Getenv("PATH")) // by its bare name, too, the program is found here
+	if err := first.Start(); err != nil {
+		t.Fatal(err)
+	}
+	stderr.Close()
+	log := follow(errs)
+	now := first.Process
+	t.Cleanup(func() {
+		_ = now.Kill()
+		if t.Failed() { // others may still be at work: their end is not waited for
+			log.mu.Lock()
+			defer log.mu.Unlock()
+			t.Logf("%q", log.lines)
+		}
+	})
+	log.wait(t, 1, "listening()")
+
+	var asked, wrong atomic.Int64
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for c := range 4 {
+		clients.Go(func() {
+			client := &http.Client{Timeout: testpeer.Patience, Transport: &http.Transport{DisableKeepAlives: c%2 == 0,
+				Dial: func(string, string) (net.Conn, error) { return net.Dial("unix", front) }}}
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("%d-%d", c, n)
+				r, _ := http.NewRequest(http.MethodPost, "http://front/x", http.NoBody) // a literal that parses
+				r.Header.Set("Req-Id", id)
+				asked.Add(1)
+				resp, err := client.Do(r)
+				if err != nil {
+					wrong.Add(1)
+					t.Errorf("request %s: %v", id, err)
+					continue
+				}
+				body, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				if err != nil || resp.StatusCode != http.StatusOK || string(body) != id {
+					wrong.Add(1)
+					t.Errorf("request %s: %d %q, %v", id, resp.StatusCode, body, err)
+				}
+			}
+		})
+	}
+	hand := func() {
+		if err := now.Signal(syscall.SIGUSR2); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for n := range 3 {
+		hand()
+		now = log.process(t, n+1)
+		if n == 0 {
+			if err := first.Wait(); err != nil {
+				t.Errorf("the first daemon: %v", err)
+			}
+		}
+		testpeer.Until(t, "more requests", func() func() bool {
+			from := asked.Load()
+			return func() bool { return asked.Load() > from+100 }
+		}())
+	}
+	for n, script := range []string{"#!/bin/sh\nexit 1\n", "#!/bin/sh\nexec sleep 60\n"} {
+		if err := os.Remove(program); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(program, []byte(script), 0o700); err != nil {
+			t.Fatal(err)
+		}
+		hand()
+		log.wait(t, n+1, "no successor: this process goes on()")
+	}
+	close(stop)
+	clients.Wait()
+	if asked.Load() < 300 || wrong.Load() > 0 {
+		t.Errorf("%d of %d requests were lost", wrong.Load(), asked.Load())
+	}
+	if runs := int64(box.Requests.Load()); runs != asked.Load() {
+		t.Errorf("%d requests ran %d times", asked.Load(), runs)
+	}
+	if err := now.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-log.ended:
+	case <-time.After(testpeer.Patience):
+		t.Error("a process is left")
+	}
+}
--- a/cmd/rowancart/serve.go
+++ b/cmd/rowancart/serve.go
@@ -9,7 +9,9 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"os/signal"
+	"path/filepath"
 	"runtime/debug"
 	"strings"
 	"syscall"
@@ -20,6 +22,7 @@
 
 	"tuliprock/internal/conf"
 	"tuliprock/internal/daemon"
+	"tuliprock/internal/handover"
 	"tuliprock/internal/hclbody"
 )
 
@@ -36,7 +39,10 @@
 		Long: `Serve as the configuration says, until SIGTERM or SIGINT has come and all that was taken has been answered.
 
 The file is read again at each SIGHUP and whenever it changes. A good one is put in force at once, a bad one changes
-nothing: the log and "rowancart config status" say what is wrong with it.`,
+nothing: the log and "rowancart config status" say what is wrong with it.
+
+At SIGUSR2 it starts the program at its own path anew, hands it the open sockets, and ends once that serves and all that was
+taken here has been answered. One that does not get to serve is ended, and this process goes on.`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			hup := make(chan os.Signal, 1) // first of all: unheeded, the signal would end the process
@@ -44,10 +50,30 @@
 			defer signal.Stop(hup)
 			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer stop()
+			usr2 := make(chan os.Signal, 1)
+			signal.Notify(usr2, syscall.SIGUSR2)
+			defer signal.Stop(usr2)
+			predecessor, err := handover.Take()
+			if err != nil {
+				return err
+			}
+			self, err := exec.LookPath(os.Args[0]) // now: the successor may be another file at that path
+			if err == nil {
+				self, err = filepath.Abs(self)
+			}
+			if err != nil {
+				return fmt.Errorf("this program can't be found: %w", err)
+			}
+			successor := func() *exec.Cmd {
+				c := exec.Command(self, os.Args[1:]...)
+				c.Stdin, c.Stdout, c.Stderr = os.Stdin, os.Stdout, os.Stderr
+				return c
+			}
 			debug.SetGCPercent(gcPercent)
-			d, err := daemon.New(daemon.Options{Path: args[0], Getenv: os.LookupEnv, Log: slog.Default(), Applied: func(c *conf.Config) {
-				debug.SetMemoryLimit(int64(heapShare * float64(c.Limits.Memory)))
-			}})
+			d, err := daemon.New(daemon.Options{Path: args[0], Getenv: os.LookupEnv, Log: slog.Default(), Predecessor: predecessor,
+				Successor: successor, HandOver: usr2, Applied: func(c *conf.Config) {
+					debug.SetMemoryLimit(int64(heapShare * float64(c.Limits.Memory)))
+				}})
 			if err != nil {
 				return err
 			}
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -45,6 +45,8 @@
 	Memory      int64 // bytes
 	Connections int   // callers' connections, over all listeners
 	StopWithin  time.Duration
+
+	HandOverWithin time.Duration // a successor that does not serve by then is ended
 }
 
 // Listener is an address at which callers are served.
--- a/internal/conf/read.go
+++ b/internal/conf/read.go
@@ -32,6 +32,7 @@
 	defaultAttempts    = 3
 	defaultAim         = time.Second
 	mostColdShare      = 4
+	defaultHandOver    = 30 * time.Second
 	defaultStateEvery  = 10 * time.Second
 	defaultStateFresh  = 5 * time.Minute
 	leastStateEvery    = time.Second
@@ -107,7 +108,7 @@
 	r.Vars = &hcl.EvalContext{Functions: map[string]function.Function{"env": env(getenv)}}
 	r.File, r.Text = name, text
 	r.Fleet = Fleet{Instances: 1}
-	r.Limits = Limits{Memory: defaultMemory, Connections: defaultConnections, StopWithin: defaultStopWithin}
+	r.Limits = Limits{Memory: defaultMemory, Connections: defaultConnections, StopWithin: defaultStopWithin, HandOverWithin: defaultHandOver}
 	var routes, pools []*hcl.Block
 	once := func(read func(*hcl.Block)) func(*hcl.Block) {
 		return func(b *hcl.Block) {
@@ -264,7 +265,7 @@
 func (r *reader) limits(b *hcl.Block) {
 	l := &r.Limits
 	memory := hclbody.Size(l.Memory)
-	if !r.Body(b.Body, hclbody.Fields{"memory": &memory, "connections": &l.Connections, "stop_within": &l.StopWithin}, nil) {
+	if !r.Body(b.Body, hclbody.Fields{"memory": &memory, "connections": &l.Connections, "stop_within": &l.StopWithin, "hand_over_within": &l.HandOverWithin}, nil) {
 		return
 	}
 	l.Memory = int64(memory)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"slices"
 	"strings"
 	"sync"
@@ -25,6 +26,7 @@
 
 	"tuliprock/internal/conf"
 	"tuliprock/internal/front/plain"
+	"tuliprock/internal/handover"
 	"tuliprock/internal/watch"
 )
 
@@ -47,6 +49,10 @@
 	oldAgo time.Duration
 	keeper keeper
 
+	predecessor *handover.Predecessor
+	successor   func() *exec.Cmd
+	handOver    <-chan os.Signal
+
 	idle chan struct{} // a generation that is not in force has lost its last user
 
 	reloading sync.Mutex // one reload at a time; guards the next three
@@ -87,6 +93,10 @@
 	Getenv  func(string) (string, bool) // gives the variables that it asks for by name
 	Log     *slog.Logger
 	Applied func(*conf.Config) // hears of each configuration that is put in force, the first included; nil: nobody does
+
+	Predecessor *handover.Predecessor // gives sockets that are open already; nil: there are none
+	Successor   func() *exec.Cmd      // what serves after this process when it is told to hand over; nil: it never is
+	HandOver    <-chan os.Signal      // tells it
 }
 
 // New reads the configuration and opens its listeners.
@@ -101,7 +111,7 @@
 		return nil, err
 	}
 	d := &Daemon{path: path, getenv: getenv, log: log, seed: binary.LittleEndian.Uint64(seed[:]),
-		gates: map[string]*gate{}, idle: make(chan struct{}, 1), applied: o.Applied}
+		gates: map[string]*gate{}, idle: make(chan struct{}, 1), applied: o.Applied, predecessor: o.Predecessor, successor: o.Successor, handOver: o.HandOver}
 	d.meter = newMeter(d)
 	d.warn(c)
 	d.recall(c.State)
@@ -110,7 +120,7 @@
 		return nil, err
 	}
 	if c.Admin != "" {
-		if d.admin, err = listen(c.Admin); err != nil {
+		if d.admin, err = d.listen(c.Admin); err != nil {
 			for _, l := range opened {
 				l.conns.Close()
 			}
@@ -140,8 +150,13 @@
 	}
 }
 
-// listen opens an address of the configuration.
-func listen(address string) (net.Listener, error) {
+// listen opens an address of the configuration, or takes it over.
+func (d *Daemon) listen(address string) (net.Listener, error) {
+	if d.predecessor != nil {
+		if l, err := d.predecessor.Listener(address); l != nil || err != nil {
+			return l, err
+		}
+	}
 	if path, ok := strings.CutPrefix(address, "unix:"); ok {
 		if nc, err := net.Dial("unix", path); err == nil {
 			nc.Close()
@@ -163,7 +178,7 @@
 		if slices.ContainsFunc(d.listeners, func(l *listener) bool { return l.address == want.Address && l.last == nil }) {
 			continue
 		}
-		nl, err := listen(want.Address)
+		nl, err := d.listen(want.Address)
 		if err != nil {
 			for _, l := range opened {
 				l.conns.Close()
@@ -244,9 +259,25 @@
 		defer close(kept)
 		d.keep(following)
 	}()
-	for ctx.Err() == nil {
+	if d.predecessor != nil {
+		if err := d.predecessor.Ready(); err != nil {
+			d.log.Warn("the predecessor was not told that this process serves", "err", err)
+		}
+	}
+	succeeded, failed := make(chan struct{}), make(chan struct{}, 1)
+	for handing := false; ctx.Err() == nil; {
 		select {
 		case <-ctx.Done():
+		case <-succeeded:
+			unfollow()
+			return d.drain(stop, kept, 0)
+		case <-d.handOver:
+			if !handing {
+				handing = true
+				d.parts.Go(func() error { d.succeed(ctx, succeeded, failed); return nil })
+			}
+		case <-failed:
+			handing = false
 		case <-hup:
 			_ = d.Reload() // told in the log and the status
 		case <-changed:
@@ -258,11 +289,38 @@
 		}
 	}
 	unfollow()
-	return d.drain(stop, kept)
+	return d.drain(stop, kept, linger)
+}
+
+// succeed hands the sockets to a successor and tells when it serves, or that it does not: then all is as before.
+func (d *Daemon) succeed(ctx context.Context, succeeded chan<- struct{}, failed chan<- struct{}) {
+	d.save(true, true) // for it to begin with
+	d.mu.RLock()
+	within := d.now.conf.Limits.HandOverWithin
+	listeners := map[string]net.Listener{}
+	for _, l := range d.listeners {
+		if l.last == nil {
+			listeners[l.address] = l.conns.Listener
+		}
+	}
+	d.mu.RUnlock()
+	if d.admin != nil {
+		listeners[d.now.conf.Admin] = d.admin // it cannot be moved
+	}
+	d.log.Info("handing over", "within", within)
+	pid, err := handover.Start(ctx, d.successor(), listeners, within)
+	if err != nil {
+		d.log.Error("no successor: this process goes on", "err", err)
+		failed <- struct{}{}
+		return
+	}
+	d.log.Info("handed over", "pid", pid)
+	close(succeeded)
 }
 
 // drain ends the callers' side, answers what was taken, and then ends the rest.
-func (d *Daemon) drain(stop context.CancelFunc, kept <-chan struct{}) error {
+// For a while new connections are taken as before, unless another process takes them.
+func (d *Daemon) drain(stop context.CancelFunc, kept <-chan struct{}, linger time.Duration) error {
 	d.reloading.Lock()
 	d.stopping = true
 	d.reloading.Unlock()
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -564,7 +564,7 @@
 		aRoute("x", "/x", "look", "one", "")
 	s := serve(t, text)
 	list("a", box.Addr)
-	until(t, func() bool { _, body, _ := s.ask(http.MethodGet, "/x"); return body == "old" })
+	testpeer.Until(t, "the roster is heard", func() bool { _, body, _ := s.ask(http.MethodGet, "/x"); return body == "old" })
 	s.end()
 	if err := os.Remove(roster); err != nil {
 		t.Fatal(err)
@@ -574,14 +574,14 @@
 		t.Errorf("with no roster: %d %q", status, body)
 	}
 	list("b", other.Addr)
-	until(t, func() bool { _, body, _ := s.ask(http.MethodGet, "/x"); return body == "new" })
+	testpeer.Until(t, "the roster is heard", func() bool { _, body, _ := s.ask(http.MethodGet, "/x"); return body == "new" })
 }
 
 func TestAStateThatCannotBeKeptIsToldOnceAndHarmsNothing(t *testing.T) {
 	box := testpeer.New(t, answer("200 OK", "", "x"))
 	s := serve(t, fmt.Sprintf("state {\n path = %q\n every = \"1s\"\n}\n", filepath.Join(t.TempDir(), "none", "state"))+
 		aPool("one", box.Addr)+aRoute("x", "/x", "look", "one", ""))
-	until(t, func() bool { return strings.Contains(s.log.String(), "what was learned is not kept") })
+	testpeer.Until(t, "it is told", func() bool { return strings.Contains(s.log.String(), "what was learned is not kept") })
 	if status, _, _ := s.ask(http.MethodGet, "/x"); status != http.StatusOK {
 		t.Errorf("status %d", status)
 	}
@@ -591,16 +591,6 @@
 	}
 }
 
-// until waits for something to come true.
-func until(t *testing.T, what func() bool) {
-	t.Helper()
-	for end := time.Now().Add(patience); !what(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("it has not come")
-		}
-	}
-}
-
 func TestAnInstanceSendsToItsPartOnly(t *testing.T) {
 	var boxes []*testpeer.Endpoint
 	var addrs []string
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
 	"time"
 
 	"tuliprock/internal/conf"
@@ -25,8 +26,9 @@
 // state is what a snapshot holds.
 type state struct{ Pools map[string]*poolState }
 
-// keeper writes snapshots. One goroutine at a time uses it.
+// keeper writes snapshots.
 type keeper struct {
+	sync.Mutex
 	path    string // that the lock is for
 	lock    io.Closer
 	savedAt time.Time
@@ -59,7 +61,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			d.save(false)
+			d.save(false, false)
 		}
 	}
 }
@@ -70,7 +72,7 @@
 	go func() {
 		defer close(done)
 		<-kept
-		d.save(true)
+		d.save(true, false)
 	}()
 	select {
 	case <-done:
@@ -79,9 +81,11 @@
 	}
 }
 
-// save writes a snapshot if one is due, or at the end. While another process holds the file it is left to that: a predecessor
+// save writes a snapshot if one is due, or else anyway, and keeps the file for itself unless it is the last. While another process holds the file it is left to that: a predecessor
 // that is still at work. One that fails is tried again at the next turn, and told once.
-func (d *Daemon) save(end bool) {
+func (d *Daemon) save(anyway, hold bool) {
+	d.keeper.Lock()
+	defer d.keeper.Unlock()
 	d.mu.RLock()
 	c, pools := d.now.conf.State, d.now.pools
 	d.mu.RUnlock()
@@ -90,7 +94,7 @@
 		k.release()
 		k.path = c.Path
 	}
-	if c.Path == "" || !end && time.Since(k.savedAt) < c.Every {
+	if c.Path == "" || !anyway && time.Since(k.savedAt) < c.Every {
 		return
 	}
 	err := k.write(c.Path, pools)
@@ -103,7 +107,7 @@
 		k.failing = false
 		d.log.Info("what was learned is kept again", "path", c.Path)
 	}
-	if end {
+	if anyway && !hold {
 		k.release()
 	}
 }
