--- /dev/null
+++ b/experiments/fleet-trouble.hcl
@@ -0,0 +1,109 @@
+# Forty instances at 60% load while the roster fails them all at once and boxes come and go: it says nothing for 8 s in which a
+# deploy begins, a box flaps, and then all boxes but one are replaced within seconds, so that nearly the whole fleet is cold.
+experiment "fleet-trouble" {
+  question = "Do forty instances that share nothing get through a silent roster, a flapping box and a cold fleet?"
+  duration = "50s"
+  warmup   = "3s"
+  repeats  = 3
+  virtual  = true
+}
+vars {
+  instances = 40
+  rate      = "576/s"
+  careful   = 0.9
+}
+site {
+  balancers = var.instances
+  roster {
+    delay  = "200ms"
+    spread = "0s"
+  }
+  rules {
+    fall_window = "2s"
+  }
+  class "form-lookup" {
+    effect   = "safe"
+    share    = 0.7
+    work     = "50ms"
+    spread   = "exponential"
+    aim      = "500ms"
+    deadline = "2s"
+  }
+  class "return-submit" {
+    effect   = "unsafe"
+    share    = 0.3
+    work     = "50ms"
+    spread   = "lognormal"
+    cv       = 0.5
+    aim      = "500ms"
+    deadline = "2s"
+    worth    = 10
+  }
+  tier "form-check" {
+    boxes = 12
+    kind "std" {
+      cores = 4
+      slots = 40
+      queue = 300
+    }
+    cold {
+      from = 0.31
+      for  = "8s"
+    }
+    connections {
+      work = "1ms"
+      idle = "30s"
+    }
+  }
+}
+load {
+  rate = var.rate
+  clients {
+    retries    = 2
+    retry_wait = "100ms"
+    heed       = true
+  }
+}
+fault "roster_silent" {
+  at  = "6s"
+  for = "8s"
+}
+fault "crash" {
+  at   = "16s"
+  for  = "2s"
+  part = 0.05
+}
+fault "crash" {
+  at   = "20s"
+  for  = "2s"
+  part = 0.05
+}
+fault "crash" {
+  at   = "24s"
+  for  = "2s"
+  part = 0.05
+}
+fault "deploy" {
+  at     = "28s"
+  for    = "10s"
+  part   = 1.0
+  size   = 0.17
+  period = "1s"
+}
+arm "careful" {
+  policy     = "tuliprock"
+  cold_share = var.careful
+}
+arm "platform" {
+  policy = "tuliprock"
+}
+arm "round_robin" {
+  policy = "round_robin"
+}
+arm "two_choices" {
+  policy = "two_choices"
+}
+expect {
+  arm        = "careful"
+  rules_kept = true
+}
