One reader of retry budgets for the daemon's files and the lab's

The lab's arms had a copy of the daemon's reader of a retry_budget block, with another place in its message. internal/hclbody has it for both; messages are the daemon's.

--- a/internal/conf/read.go
+++ b/internal/conf/read.go
@@ -342,15 +342,7 @@
 			}
 			p.ColdFrom = float64(from)
 		},
-		"retry_budget": func(b *hcl.Block) {
-			var share hclbody.Share
-			var floor hclbody.Rate
-			p.Resends.Most = 10
-			if r.Body(b.Body, hclbody.Fields{"share!": &share, "floor": &floor, "most": &p.Resends.Most}, nil) && p.Resends.Most < 1 {
-				r.Fault(r.Places[&p.Resends.Most], "most: %g never lets a retry through; 1 is the least", p.Resends.Most)
-			}
-			p.Resends.Share, p.Resends.Rate = float64(share), float64(floor)
-		},
+		"retry_budget": func(b *hcl.Block) { r.RetryBudget(b, &p.Resends) },
 		"roster kind": func(b *hcl.Block) {
 			if rosters++; rosters > 1 {
 				r.Fault(b.DefRange, "roster: pool %q has one already", p.Name)
--- a/internal/lab/expfile/expfile.go
+++ b/internal/lab/expfile/expfile.go
@@ -174,15 +174,7 @@
 		"fault kind": func(b *hcl.Block) { r.failure(b, e) },
 		"arm name": func(b *hcl.Block) {
 			a := lab.Arm{Name: b.Labels[0], Policy: "tuliprock"}
-			r.Body(b.Body, hclbody.Fields{"policy": &a.Policy, "run": &a.Run, "cold_share": &a.ColdShare, "snapshot": &a.Snapshot}, hclbody.Blocks{"retry_budget": func(b *hcl.Block) {
-				var share hclbody.Share
-				var floor hclbody.Rate
-				a.Resends.Most = 10
-				if r.Body(b.Body, hclbody.Fields{"share!": &share, "floor": &floor, "most": &a.Resends.Most}, nil) && a.Resends.Most < 1 {
-					r.Fault(b.DefRange, "retry_budget: most: %g never lets a retry through; 1 is the least", a.Resends.Most)
-				}
-				a.Resends.Share, a.Resends.Rate = float64(share), float64(floor)
-			}, "class name": func(b *hcl.Block) {
+			r.Body(b.Body, hclbody.Fields{"policy": &a.Policy, "run": &a.Run, "cold_share": &a.ColdShare, "snapshot": &a.Snapshot}, hclbody.Blocks{"retry_budget": func(b *hcl.Block) { r.RetryBudget(b, &a.Resends) }, "class name": func(b *hcl.Block) {
 				p := lab.ClassPolicy{Class: b.Labels[0]}
 				queue, retry := -1, "after_run"
 				r.Body(b.Body, hclbody.Fields{"attempt_timeout": &p.AttemptTimeout, "attempts": &p.Attempts, "retry": &retry,
