--- a/internal/conf/read.go
+++ b/internal/conf/read.go
@@ -39,7 +39,7 @@
 	leastSubset        = 3 // with fewer, one slow endpoint and one that restarts are all there is
 	defaultColdFrom    = 0.3
 	defaultColdFor     = 10 * time.Second
-	defaultColdShare   = 0.9 // the most with which no fresh server was sent too much in 8,000 plays (docs/results/fleet.md)
+	defaultColdShare   = 0.9 // no fresh server was sent too much with it in 8,000 plays (docs/results/fleet.md)
 	defaultTenant      = "Req-Owner"
 )
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -303,10 +303,10 @@
 			listeners[l.address] = l.conns.Listener
 		}
 	}
-	d.mu.RUnlock()
 	if d.admin != nil {
-		listeners[d.now.conf.Admin] = d.admin // it cannot be moved
+		listeners[d.now.conf.Admin] = d.admin
 	}
+	d.mu.RUnlock()
 	d.log.Info("handing over", "within", within)
 	pid, err := handover.Start(ctx, d.successor(), listeners, within)
 	if err != nil {
