Hand-over: told when the successor holds the sockets, not before it is started

Cause: "handing over" was logged before the successor's process existed. A daemon killed in between left no process at the sockets, and TestASuccessorServesThoughTheOldOneIsKilled, which kills it at that line, was refused a connection in up to 7 of 25 runs. Now handover.Start returns once the successor holds the sockets, the line is logged then and names its process, and Wait waits until it serves.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -307,14 +307,17 @@
 		listeners[d.now.conf.Admin] = d.admin
 	}
 	d.mu.RUnlock()
-	d.log.Info("handing over", "within", within)
-	pid, err := handover.Start(ctx, d.successor(), listeners, within)
+	s, err := handover.Start(d.successor(), listeners)
+	if err == nil {
+		d.log.Info("handing over", "pid", s.Pid, "within", within)
+		err = s.Wait(ctx, within)
+	}
 	if err != nil {
 		d.log.Error("no successor: this process goes on", "err", err)
 		failed <- struct{}{}
 		return
 	}
-	d.log.Info("handed over", "pid", pid)
+	d.log.Info("handed over", "pid", s.Pid)
 	close(succeeded)
 }
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -11,7 +11,6 @@
 	"net"
 	"os"
 	"os/exec"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -116,35 +115,42 @@
 	return os.NewFile(uintptr(fd), l.Addr().String()), nil
 }
 
-// Start starts a command as the successor at the sockets of listeners, by their addresses, and waits until it serves. When it
-// does not within the time given, or ctx ends, it is ended and the listeners stay with this process alone. It gives the
-// successor's process id.
-func Start(ctx context.Context, command *exec.Cmd, listeners map[string]net.Listener, within time.Duration) (pid int, err error) {
+// Successor is a process that was started at the sockets of this one, and may not serve yet.
+type Successor struct {
+	Pid       int
+	command   *exec.Cmd
+	told      *os.File // where it says that it serves
+	listeners map[string]net.Listener
+}
+
+// Start starts a command as the successor at the sockets of listeners, by their addresses. From its return on the successor
+// holds the sockets, whatever becomes of this process. Wait must follow.
+func Start(command *exec.Cmd, listeners map[string]net.Listener) (*Successor, error) {
 	s := sockets{Addresses: map[string]int{}}
 	var files []*os.File
 	defer func() {
 		for _, f := range files {
-			f.Close()
+			f.Close() // that of the pipe above all: else the end of the successor would not show there
 		}
 	}()
 	for address, l := range listeners {
 		f, err := share(l)
 		if err != nil {
-			return 0, fmt.Errorf("handover: %s: %w", address, err)
+			return nil, fmt.Errorf("handover: %s: %w", address, err)
 		}
 		s.Addresses[address] = firstExtra + len(files)
 		files = append(files, f)
 	}
 	told, tells, err := os.Pipe()
 	if err != nil {
-		return 0, fmt.Errorf("handover: %w", err)
+		return nil, fmt.Errorf("handover: %w", err)
 	}
-	defer told.Close()
 	s.Ready = firstExtra + len(files)
 	files = append(files, tells)
 	text, err := json.Marshal(s)
 	if err != nil {
-		return 0, fmt.Errorf("handover: %w", err)
+		told.Close()
+		return nil, fmt.Errorf("handover: %w", err)
 	}
 	if command.Env == nil {
 		command.Env = os.Environ()
@@ -152,38 +158,45 @@
 	command.Env = append(command.Env, variable+"="+string(text))
 	command.ExtraFiles = files
 	if err := command.Start(); err != nil {
-		return 0, fmt.Errorf("handover: %w", err)
+		told.Close()
+		return nil, fmt.Errorf("handover: %w", err)
 	}
-	tells.Close() // else the end of the successor would not show as the pipe's
+	return &Successor{Pid: command.Process.Pid, command: command, told: told, listeners: listeners}, nil
+}
+
+// Wait waits until the successor serves. When it does not within the time given, or ctx ends, it is ended and the listeners
+// stay with this process alone.
+func (s *Successor) Wait(ctx context.Context, within time.Duration) error {
+	defer s.told.Close()
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		_ = command.Wait() // a successor that serves outlives this process, as a rule
+		_ = s.command.Wait() // a successor that serves outlives this process, as a rule
 	}()
-	_ = told.SetReadDeadline(time.Now().Add(within))
-	stop := context.AfterFunc(ctx, func() { _ = told.SetReadDeadline(time.Unix(1, 0)) })
+	_ = s.told.SetReadDeadline(time.Now().Add(within))
+	stop := context.AfterFunc(ctx, func() { _ = s.told.SetReadDeadline(time.Unix(1, 0)) })
 	defer stop()
-	line, err := bufio.NewReader(told).ReadString('\n')
+	line, err := bufio.NewReader(s.told).ReadString('\n')
 	if line == ready {
-		for _, l := range listeners {
+		for _, l := range s.listeners {
 			if u, ok := l.(*net.UnixListener); ok {
 				u.SetUnlinkOnClose(false) // the path is the successor's now
 			}
 		}
-		return command.Process.Pid, nil
+		return nil
 	}
-	_ = command.Process.Signal(syscall.SIGTERM)
+	_ = s.command.Process.Signal(syscall.SIGTERM)
 	select {
 	case <-ended:
 	case <-time.After(killAfter):
-		_ = command.Process.Kill()
+		_ = s.command.Process.Kill()
 		<-ended
 	}
 	if ctx.Err() != nil {
-		return 0, fmt.Errorf("handover: %w", ctx.Err())
+		return fmt.Errorf("handover: %w", ctx.Err())
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return 0, fmt.Errorf("handover: process %d: %w: %v", command.Process.Pid, ErrNotReady, within)
+		return fmt.Errorf("handover: process %d: %w: %v", s.Pid, ErrNotReady, within)
 	}
-	return 0, fmt.Errorf("handover: process %s ended before it served: %v", strconv.Itoa(command.Process.Pid), command.ProcessState)
+	return fmt.Errorf("handover: process %d ended before it served: %v", s.Pid, s.command.ProcessState)
 }
