One dead box of two costs no request: drop it, go elsewhere, beside the budget

Each request went to it again, also within one request, and once the budget of resends was gone each was refused, though the budget was not charged for refused connections. A request without a limit of attempts asked again hundreds of times.

Change: a failed connection drops its endpoint at once; the only one active is dropped by any failure while others wait; a repeat goes to an endpoint not yet tried before one that was; with none active an endpoint whose trial is out may be used; a connection that was never made, and a failed trial while others are active, may be repeated beside the budget, three times a request.

--- a/balancer.go
+++ b/balancer.go
@@ -43,6 +43,7 @@
 	allShares   = 1.3                    // or while requests come at this multiple of all quotas together
 	holdShare   = 0.05                   // share of the mean aim that a request waits here at most
 	hopeless    = 0.6                    // share of the expected time that must be left, when room is short
+	freeMost    = 3                      // attempts beside the budget that one request may bring
 	copyLeast   = 20.0                   // answers of a class from which its tail is known
 	blame       = 1.5                    // error share, over that of the others, that makes errors its own
 	blameLeast  = 0.1                    // and this much more: three errors in fifteen answers
@@ -330,13 +331,14 @@
 		!slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.out || a.mayRun })
 }
 
-// pick chooses: a due trial, else the lowest deficit, with none active the trial due soonest. Calls still
-// out, here or as probed, are charged on top, so that a crowd or a hang is seen before its answers are. What
-// it goes through comes in heaps: behind one that is out of the question no better one can be.
+// pick chooses: a due trial, else the lowest deficit, with none active that this request has not been at the
+// trial due soonest, be it out already. Calls still out, here or as probed, are charged on top, so that a
+// crowd or a hang is seen before its answers are. What it goes through comes in heaps: behind one that is out
+// of the question no better one can be.
 func (b *Balancer) pick(now time.Duration, q *request, turns, trials search) *endpoint {
 	var trial, turn, soonest *endpoint
 	trials.each(func(e *endpoint) bool {
-		if now < e.trialAt || trial != nil && !soonerTrial(e, trial) {
+		if e.trial || now < e.trialAt || trial != nil && !soonerTrial(e, trial) {
 			return false
 		}
 		if !q.tried(e) && b.allowed(now, q, e) {
@@ -347,7 +349,7 @@
 	if trial != nil {
 		return trial
 	}
-	lowest, active := math.Inf(1), false
+	lowest, active, first := math.Inf(1), false, len(q.attempts) == 0
 	turns.each(func(e *endpoint) bool {
 		active = true
 		deficit := e.deficit - b.zero(e)
@@ -365,18 +367,27 @@
 		}
 		return true
 	})
-	if active {
+	if active && (first || turn != nil && !q.tried(turn)) {
 		return turn
 	}
 	trials.each(func(e *endpoint) bool {
 		if soonest != nil && !soonerTrial(e, soonest) {
 			return false
 		}
-		if b.allowed(now, q, e) {
+		if b.allowed(now, q, e) && !q.tried(e) {
 			soonest = e
 		}
 		return true
 	})
+	if soonest != nil || turn != nil {
+		return cmp.Or(soonest, turn)
+	}
+	trials.each(func(e *endpoint) bool { // all have been tried: better one of them again than none
+		if soonest == nil && b.allowed(now, q, e) {
+			soonest = e
+		}
+		return soonest == nil
+	})
 	return soonest
 }
 
@@ -483,8 +494,8 @@
 	a := attempt{e: e, sent: now, out: true, trial: !e.active}
 	a.overdueAt = now + max(seconds(late*max(w, 1)*took), 3*b.s.Resolution)
 	e.trial = a.trial
-	b.place(e)
 	e.inFlight++
+	b.place(e)
 	b.out++
 	q.attempts, q.held, q.probing, q.copyAt = append(q.attempts, a), false, nil, 0
 	if gap := q.class.copyGap(); gap > 0 && len(q.attempts) == 1 {
@@ -514,7 +525,7 @@
 // none: copies would feed the overload that makes answers slow.
 func (b *Balancer) copy(now time.Duration, q *request) {
 	q.copyAt, q.copying = 0, true
-	if q.outs() == 1 && float64(b.out) < overRoom*b.room && b.mayTry(now, q) {
+	if q.outs() == 1 && float64(b.out) < overRoom*b.room && b.mayTry(now, q, false) {
 		if e := b.pick(now, q, search{in: &b.turns}, search{in: &b.trials}); e != nil && !q.tried(e) {
 			q.copied = true
 			b.resends.spend()
@@ -554,7 +565,9 @@
 	}
 	a.out, a.mayRun = false, o.Result != Full && o.Result != ConnectFailed && o.Result != NotSent
 	a.e.inFlight--
+	b.place(a.e)
 	b.out--
+	free := b.free(q, a, o.Result)
 	if !a.streams {
 		b.judge(now, q, a, o.Result, o.Took)
 	}
@@ -562,8 +575,8 @@
 	case q.done || o.Final || o.Result == OK:
 		b.close(q)
 	case q.held || q.outs() > 0:
-	case b.mayTry(now, q) && b.anyLeft(now, q):
-		if o.Result != ConnectFailed { // costs the endpoints nothing
+	case b.mayTry(now, q, free) && b.anyLeft(now, q):
+		if !free {
 			b.resends.spend()
 		}
 		b.dispatch(now, q)
@@ -585,9 +598,16 @@
 }
 
 // mayTry tells whether limit, time and budget allow one more attempt. Resends must not multiply over tiers.
-func (b *Balancer) mayTry(now time.Duration, q *request) bool {
+func (b *Balancer) mayTry(now time.Duration, q *request, free bool) bool {
 	most := cmp.Or(q.class.MaxAttempts, b.s.MaxAttempts)
-	return (most <= 0 || len(q.attempts) < most) && b.resends.left() && b.inTime(now, q, 1)
+	return (most <= 0 || len(q.attempts) < most) && (free || b.resends.left()) && b.inTime(now, q, 1)
+}
+
+// free tells whether the attempt after one that has just ended is beside the budget, which guards against
+// endpoints that fail being asked ever more: a connection that was not made costs nobody anything, and a
+// trial is this balancer's own doing, and seldom.
+func (b *Balancer) free(q *request, a *attempt, r Result) bool {
+	return len(q.attempts) <= freeMost && (r == ConnectFailed || a.trial && len(b.turns.list) > 0)
 }
 
 // inTime tells whether an attempt sent now can still bring an answer that counts.
@@ -636,10 +656,14 @@
 	if failed {
 		stretch = min(max(stretch, (q.Deadline-a.sent).Seconds()/b.expected(q)), penaltyMost)
 	}
-	if a.trial {
+	if a.trial && !e.active {
 		b.tryOver(now, e, stretch, failed)
-	} else {
-		b.sample(now, e, stretch)
+		return
+	}
+	b.sample(now, e, stretch)
+	// Nobody is there, or it is the last one active: what fails must not pass for the best.
+	if failed && e.active && (r == ConnectFailed || len(b.turns.list) == 1 && len(b.trials.list) > 0) {
+		b.drop(now, e)
 	}
 }
 
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -45,8 +45,12 @@
 }
 
 func newRig(t *testing.T, s tuliprock.Settings, endpoints ...string) *rig {
+	return newRigSeeded(t, s, 7, endpoints...)
+}
+
+func newRigSeeded(t *testing.T, s tuliprock.Settings, seed uint64, endpoints ...string) *rig {
 	r := &rig{t: t, now: 100 * time.Second, to: map[string][]string{}, sentAt: map[string]time.Duration{}}
-	s.Seed = 7
+	s.Seed = seed
 	r.b = tuliprock.New(r.now, s, r)
 	l := tuliprock.List{Complete: true}
 	for _, id := range endpoints {
--- a/deploy_test.go
+++ b/deploy_test.go
@@ -21,27 +21,29 @@
 			t.Errorf("deploy file has no %q command", key)
 		}
 	}
-	policy := regexp.MustCompile(`(?m)^policy = \["([^"]+)"\]$`).FindSubmatch(text)
-	if policy == nil || string(policy[1]) != "balancer.go" {
-		t.Fatalf("policy is not balancer.go alone: %q", policy)
-	}
-	module, err := os.ReadFile(string(policy[1]))
-	if err != nil {
-		t.Fatal(err)
+	policy := regexp.MustCompile(`(?m)^policy = \["([^]]+)"\]$`).FindSubmatch(text)
+	if policy == nil || string(policy[1]) != `balancer.go", "state.go", "resends.go` {
+		t.Fatalf("policy does not name the files that decide: %q", policy)
 	}
 	lines := 0
-	for i, line := range strings.Split(string(module), "\n") {
-		if strings.TrimSpace(line) != "" {
-			lines++
+	for _, file := range strings.Split(string(policy[1]), `", "`) {
+		module, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
 		}
-		if n := utf8.RuneCountInString(strings.ReplaceAll(line, "\t", strings.Repeat(" ", tab))); n > mostColumns {
-			t.Errorf("balancer.go:%d has %d columns", i+1, n)
+		for i, line := range strings.Split(string(module), "\n") {
+			if strings.TrimSpace(line) != "" {
+				lines++
+			}
+			if n := utf8.RuneCountInString(strings.ReplaceAll(line, "\t", strings.Repeat(" ", tab))); n > mostColumns {
+				t.Errorf("%s:%d has %d columns", file, i+1, n)
+			}
+		}
+		if head := strings.Join(strings.Split(string(module), "\n")[:6], "\n"); file == "balancer.go" && !strings.Contains(head, "api.go") {
+			t.Error("the first lines of the module do not name api.go")
 		}
 	}
 	if lines < 100 || lines > mostLines {
 		t.Errorf("the module has %d lines, at most %d are allowed", lines, mostLines)
 	}
-	if head := strings.Join(strings.Split(string(module), "\n")[:6], "\n"); !strings.Contains(head, "api.go") {
-		t.Error("the first lines of the module do not name api.go")
-	}
 }
--- a/index.go
+++ b/index.go
@@ -21,7 +21,7 @@
 	list   []*endpoint
 }
 
-// search goes through the endpoints of an order, or else through those among which are active, or wait for a trial.
+// search goes through the endpoints of an order, or else through those among which are active, or are not.
 // It is no func or interface: what it is handed would then be allocated for each search.
 type search struct {
 	in     *order
@@ -35,7 +35,7 @@
 		s.in.visit(0, more)
 	}
 	for _, e := range s.among {
-		if e.State != Gone && e.active == s.active && (e.active || !e.trial) {
+		if e.State != Gone && e.active == s.active {
 			more(e)
 		}
 	}
@@ -45,7 +45,14 @@
 	return x.deficit < y.deficit || x.deficit == y.deficit && x.pos < y.pos
 }
 
+// soonerTrial puts those last that have their trial out, the ones with the fewest calls first.
 func soonerTrial(x, y *endpoint) bool {
+	switch {
+	case x.trial != y.trial:
+		return y.trial
+	case x.trial && x.inFlight != y.inFlight:
+		return x.inFlight < y.inFlight
+	}
 	return x.trialAt < y.trialAt || x.trialAt == y.trialAt && x.pos < y.pos
 }
 
@@ -158,7 +165,7 @@
 // place brings an endpoint to where it belongs in all orders, after anything that they go by has changed.
 func (b *Balancer) place(e *endpoint) {
 	b.turns.put(e, e.in && e.active)
-	b.trials.put(e, e.in && !e.active && !e.trial)
+	b.trials.put(e, e.in && !e.active)
 	e.kind.best.put(e, e.in && e.active)
 }
 
--- a/resends.go
+++ b/resends.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// Resends is a budget for attempts beyond the first, second copies included, over all requests of a Balancer: what fails
-// must not be asked again by everybody at once. Zero: a tenth of the requests, and no more than 10 saved up.
+// Resends is a budget for attempts beyond the first, second copies included, over all requests of a Balancer:
+// what fails must not be asked again by everybody at once. Zero: a tenth of the requests, and no more than 10
+// saved up.
 type Resends struct {
 	Share float64 // earned by each request
 	Rate  float64 // earned each second, so that a quiet caller has some
--- a/rules_test.go
+++ b/rules_test.go
@@ -213,6 +213,11 @@
 
 // step plays one batch.
 func (w *world) step() {
+	defer func() {
+		if err := w.b.CheckIndex(); err != nil {
+			w.t.Fatalf("%v: %v", w.now, err)
+		}
+	}()
 	w.now += max(w.s.Resolution, ms)
 	for range w.rng.IntN(4) {
 		if !w.over {
--- a/state.go
+++ b/state.go
@@ -119,7 +119,7 @@
 	sorted    []*endpoint // all ready ones by kind; kept while the table is a part of them
 	members   int         // of the table
 	turns     order       // its active endpoints by deficit
-	trials    order       // those that wait for a trial, by its time
+	trials    order       // the others, by the time of their trial
 	errors    float64     // sum of its endpoints' shares of errors
 	base      float64     // what counts as a deficit of 0
 	cold      []*endpoint // that may have to wait for their next send
@@ -149,10 +149,12 @@
 
 // New returns a Balancer that starts at now with no knowledge but its settings.
 func New(now time.Duration, s Settings, h Host) *Balancer {
-	b := &Balancer{s: s, host: h, rng: rand.New(rand.NewPCG(s.Seed, 1)), started: now, callsAt: now, stretch: 1,
-		kinds: map[string]*kind{},
-		turns: order{slot: byDeficit, before: lessDeficit}, trials: order{slot: byTrial, before: soonerTrial},
-		byName: map[string]*endpoint{}, requests: map[string]*request{}, logged: map[string]time.Duration{}}
+	b := &Balancer{s: s, host: h, rng: rand.New(rand.NewPCG(s.Seed, 1)), started: now, callsAt: now,
+		stretch: 1,
+		kinds:   map[string]*kind{},
+		turns:   order{slot: byDeficit, before: lessDeficit},
+		trials:  order{slot: byTrial, before: soonerTrial},
+		byName:  map[string]*endpoint{}, requests: map[string]*request{}, logged: map[string]time.Duration{}}
 	b.settle(now, s)
 	if s.MustSubscribe {
 		h.Subscribe()
@@ -160,8 +162,9 @@
 	return b
 }
 
-// Configure replaces the settings. All that was learned stays, classes and tenants by their names. A request that has
-// come is treated to its end as its class was when it came. Seed and MustSubscribe keep their first values.
+// Configure replaces the settings. All that was learned stays, classes and tenants by their names. A request
+// that has come is treated to its end as its class was when it came. Seed and MustSubscribe keep their first
+// values.
 func (b *Balancer) Configure(now time.Duration, s Settings) {
 	s.Seed, s.MustSubscribe = b.s.Seed, b.s.MustSubscribe
 	b.settle(now, s)
@@ -233,8 +236,8 @@
 	return at
 }
 
-// share is how many endpoints there are for this caller alone. Behind the first tier callers are many and each has
-// little to send: there it is all of them.
+// share is how many endpoints there are for this caller alone. Behind the first tier callers are many and
+// each has little to send: there it is all of them.
 func (b *Balancer) share() float64 {
 	n := float64(b.known + b.others)
 	if b.s.Tier == 0 {
