lab search: random sites, loads and faults, ranked by what the design leaves to rivals

Need: experiments show only what somebody thought to draw. Results go to a file of JSON lines, from which a stopped run goes on.

--- a/cmd/rowancart/lab.go
+++ b/cmd/rowancart/lab.go
@@ -24,7 +24,7 @@
 
 func newLab() *cobra.Command {
 	lab := &cobra.Command{Use: "lab", Short: "Play experiments with the balancer before stand-in boxes"}
-	lab.AddCommand(newLabRun(), newLabCheck(), newLabList(), newLabCompare(), newSpeed(), newSubsets(), newFast(), &cobra.Command{
+	lab.AddCommand(newLabRun(), newLabCheck(), newLabList(), newLabCompare(), newSpeed(), newSubsets(), newSearch(), newFast(), &cobra.Command{
 		Use:    "reverse-proxy",
 		Short:  "Serve as the rival on sockets, as ROUTER_CONFIG says",
 		Hidden: true,
--- /dev/null
+++ b/cmd/rowancart/search.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"tuliprock/internal/lab/search"
+)
+
+func newSearch() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "search",
+		Short: "Look for the sites on which the design loses against the rival policies",
+	}
+	var seed uint64
+	cmd.PersistentFlags().Uint64Var(&seed, "seed", 1, "of the sites that are drawn")
+	o := search.Options{}
+	sites := 1000
+	run := &cobra.Command{
+		Use:   "run BOUNDS",
+		Short: "Draw sites, play the design and its rivals on each, and add the results to a file",
+		Long: `Draw sites within the bounds of a file, play the design and its rivals on each in virtual time, and add the results to a file.
+
+A run that was stopped goes on where it was when it is called again with the same bounds, seed and file. The file says nothing of
+the program: results of another build want a file of their own.`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			b, err := search.Load(args[0])
+			if err != nil {
+				return err
+			}
+			if o.Out == "" {
+				return errors.New("--out: a file for the results is wanted")
+			}
+			o.Seed, o.To = seed, o.From+sites
+			show, finish := progress(cmd.ErrOrStderr())
+			o.Progress = func(done, all int) {
+				if done%100 == 0 || done == all {
+					show(done, all, 0)
+				}
+			}
+			err = search.Run(cmd.Context(), b, o)
+			finish()
+			return err
+		},
+	}
+	run.Flags().StringVar(&o.Out, "out", "", "file for the results")
+	run.Flags().IntVar(&sites, "sites", sites, "how many are played")
+	run.Flags().IntVar(&o.From, "from", 0, "the first of them")
+
+	worst, picture := 10, ""
+	tell := &cobra.Command{
+		Use:   "report BOUNDS RESULTS...",
+		Short: "Tell on how many sites the design is behind, by how much, and describe the worst",
+		Args:  cobra.MinimumNArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			b, err := search.Load(args[0])
+			if err != nil {
+				return err
+			}
+			var all []search.Summary
+			for _, path := range args[1:] {
+				sites, err := search.Read(path)
+				if err != nil {
+					return err
+				}
+				s := search.Summarise(b, sites)
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: ", path)
+				s.Text(cmd.OutOrStdout(), b, seed, worst)
+				all = append(all, s)
+			}
+			if picture == "" {
+				return nil
+			}
+			f, err := os.Create(picture)
+			if err != nil {
+				return err
+			}
+			return errors.Join(search.Plot(f, args[1:], all), f.Close())
+		},
+	}
+	tell.Flags().IntVar(&worst, "worst", worst, "sites that are described")
+	tell.Flags().StringVar(&picture, "plot", "", "draw the distributions of regret into this file, as SVG")
+	cmd.AddCommand(run, tell)
+	return cmd
+}
--- a/internal/hclbody/hclbody.go
+++ b/internal/hclbody/hclbody.go
@@ -172,6 +172,12 @@
 				*to = append(*to, uint64(x))
 			}
 		})
+	case *[]float64:
+		r.each(a.Name, at, v, func(v cty.Value) {
+			if x, ok := r.number(a.Name, at, v); ok {
+				*to = append(*to, x)
+			}
+		})
 	case *[]time.Duration:
 		r.each(a.Name, at, v, func(v cty.Value) {
 			var d time.Duration
--- a/internal/lab/expfile/expfile.go
+++ b/internal/lab/expfile/expfile.go
@@ -270,14 +270,15 @@
 			c := lab.Class{Name: b.Labels[0], Share: 1, Worth: 1, Spread: lab.Exponential, Cv: 1}
 			effect := "safe"
 			spread := string(c.Spread)
+			var hits hclbody.Share
 			r.Body(b.Body, hclbody.Fields{"effect": &effect, "share": &c.Share, "work!": &c.Work, "wait": &c.Wait, "spread": &spread, "cv": &c.Cv,
-				"aim!": &c.Aim, "deadline!": &c.Deadline, "worth": &c.Worth}, nil)
+				"hits": &hits, "hit_work": &c.HitWork, "aim!": &c.Aim, "deadline!": &c.Deadline, "worth": &c.Worth}, nil)
 			hclbody.OneOf(&r.Reader, b.DefRange, "effect", effect, "safe", "unsafe")
 			hclbody.OneOf(&r.Reader, b.DefRange, "spread", spread, string(lab.Exponential), string(lab.LogNormal), string(lab.Fixed))
 			if effect == "unsafe" {
 				c.Effect = tuliprock.Unsafe
 			}
-			c.Spread = lab.Spread(spread)
+			c.Spread, c.Hits = lab.Spread(spread), float64(hits)
 			if c.Aim > c.Deadline {
 				r.Fault(b.DefRange, "class %s: the aim of %v is later than the deadline of %v", c.Name, c.Aim, c.Deadline)
 			}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -70,7 +70,9 @@
 	Work     time.Duration // mean, on a core of speed 1, over all tiers
 	Wait     time.Duration // spent at the last tier without using a core
 	Spread   Spread
-	Cv       float64 // coefficient of variation, for LogNormal
+	Cv       float64       // coefficient of variation, for LogNormal
+	Hits     float64       // share of the requests that find their answer ready,
+	HitWork  time.Duration // and take this work instead
 	Aim      time.Duration
 	Deadline time.Duration
 	Worth    float64
--- a/internal/lab/report/compare.go
+++ b/internal/lab/report/compare.go
@@ -18,7 +18,8 @@
 // student97 is the 97.5% quantile of Student's t distribution for 1 to 10 degrees of freedom, and for many.
 var student97 = []float64{12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228}
 
-func student(freedom float64) float64 {
+// Student is the 97.5% quantile of Student's t distribution, for 95% intervals.
+func Student(freedom float64) float64 {
 	if i := int(freedom) - 1; i >= 0 && i < len(student97) {
 		return student97[max(i, 0)]
 	}
@@ -91,7 +92,7 @@
 			if sa+sb > 0 {
 				freedom = (sa + sb) * (sa + sb) / (sa*sa/(na-1) + sb*sb/(nb-1))
 			}
-			d.Noise = student(freedom) * math.Sqrt(sa+sb)
+			d.Noise = Student(freedom) * math.Sqrt(sa+sb)
 		}
 		out = append(out, d)
 	}
--- /dev/null
+++ b/internal/lab/search/bounds.go
@@ -0,0 +1,157 @@
+// Package search looks for the sites on which the design loses: it draws services, loads and faults within bounds, plays the
+// design and the rival policies on each in virtual time, ranks the sites by regret, and shrinks the worst to experiments that
+// play by themselves. Regret is what the best rival serves in time, by worth, less what the design does.
+package search
+
+import (
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/hcl/v2"
+
+	"tuliprock/internal/hclbody"
+	"tuliprock/internal/lab"
+	"tuliprock/internal/lab/rival"
+)
+
+// Design is the policy that is searched for its weaknesses.
+const Design = "tuliprock"
+
+// flap and silentCrash are drawn beside the faults that the lab has: a box that goes and comes, and one of which the roster
+// says nothing.
+const (
+	flap        = "flap"
+	silentCrash = "silent_crash"
+	step        = "step" // a step in the load
+)
+
+// Span is a range, both ends included.
+type Span[T int | float64 | time.Duration] struct{ Least, Most T }
+
+// Bounds say within what sites are drawn, and how each is played.
+type Bounds struct {
+	Name      string
+	Boxes     Span[int]           // of the first tier
+	Instances Span[int]           // before it
+	Tiers     Span[int]           //
+	Classes   Span[int]           //
+	Faults    Span[int]           // that strike during a play
+	Work      Span[time.Duration] // mean of a request over all tiers
+	Duration  Span[time.Duration]
+	Load      Span[float64] // in shares of what the service can do
+	Rate      Span[float64] // requests a second
+	Requests  int           // most in one play: the rate gives in to it
+	Known     int           // most pairs of an instance and a box that it knows
+	Quiet     float64       // share of sites whose callers ask less than once a second each
+	Kinds     []string      // of faults
+	Rivals    []string
+	Repeats   int     // plays of every site and policy
+	More      int     // and of those where the design seems behind
+	Seems     float64 // by more than this
+	Digest    uint64  // of the file
+}
+
+var kinds = append([]string{flap, silentCrash, step}, func() (names []string) {
+	for _, k := range slices.Sorted(maps.Keys(lab.FaultKinds)) {
+		if lab.FaultKinds[k] {
+			names = append(names, string(k))
+		}
+	}
+	return names
+}()...)
+
+// Load reads a file of bounds.
+func Load(path string) (*Bounds, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(text, filepath.Base(path))
+}
+
+// Parse reads the text of a file of bounds, called name in messages.
+func Parse(text []byte, name string) (*Bounds, error) {
+	body, err := hclbody.Parse(text, name)
+	if err != nil {
+		return nil, err
+	}
+	r := &hclbody.Reader{}
+	b := &Bounds{Digest: xxhash.Sum64(text)}
+	found := false
+	r.Body(body, nil, hclbody.Blocks{"search name": func(block *hcl.Block) {
+		if found {
+			r.Fault(block.DefRange, "search: there is one already")
+		}
+		found, b.Name = true, block.Labels[0]
+		readSearch(r, block, b)
+	}})
+	if !found && len(r.Diags) == 0 {
+		r.Fault(hcl.Range{Filename: name, Start: hcl.InitialPos, End: hcl.InitialPos}, `the file has no block "search"`)
+	}
+	return b, hclbody.Faults(r.Diags)
+}
+
+func readSearch(r *hclbody.Reader, block *hcl.Block, b *Bounds) {
+	var whole [5][]uint64
+	var times [2][]time.Duration
+	var load []float64
+	var rates struct{ least, most hclbody.Rate }
+	var quiet, seems hclbody.Share
+	ok := r.Body(block.Body, hclbody.Fields{"boxes!": &whole[0], "instances!": &whole[1], "tiers!": &whole[2], "classes!": &whole[3],
+		"faults!": &whole[4], "work!": &times[0], "duration!": &times[1], "load!": &load, "rate_least!": &rates.least,
+		"rate_most!": &rates.most, "requests!": &b.Requests, "known!": &b.Known, "quiet!": &quiet, "fault_kinds!": &b.Kinds,
+		"rivals!": &b.Rivals, "repeats!": &b.Repeats, "more_repeats!": &b.More, "seems!": &seems}, nil)
+	if !ok {
+		return
+	}
+	at := func(to any) hcl.Range { return r.Places[to] }
+	for i, to := range []*Span[int]{&b.Boxes, &b.Instances, &b.Tiers, &b.Classes, &b.Faults} {
+		least := uint64(1)
+		if to == &b.Faults {
+			least = 0
+		}
+		if len(whole[i]) != 2 || whole[i][0] > whole[i][1] || whole[i][0] < least || whole[i][1] > 1e6 {
+			r.Fault(at(&whole[i]), "two whole numbers from %d up are wanted, the smaller one first", least)
+			continue
+		}
+		*to = Span[int]{int(whole[i][0]), int(whole[i][1])}
+	}
+	for i, to := range []*Span[time.Duration]{&b.Work, &b.Duration} {
+		if len(times[i]) != 2 || times[i][0] > times[i][1] || times[i][0] <= 0 {
+			r.Fault(at(&times[i]), "two times above 0 are wanted, the shorter one first")
+			continue
+		}
+		*to = Span[time.Duration]{times[i][0], times[i][1]}
+	}
+	if len(load) != 2 || load[0] > load[1] || load[0] <= 0 {
+		r.Fault(at(&load), "load: two numbers above 0 are wanted, the smaller one first")
+	} else {
+		b.Load = Span[float64]{load[0], load[1]}
+	}
+	if rates.least <= 0 || rates.least > rates.most {
+		r.Fault(at(&rates.most), "rate_most: it is under rate_least, or that is 0")
+	}
+	if b.Requests < 100 || b.Known < 1 {
+		r.Fault(at(&b.Requests), "requests and known: at least 100 requests and one pair are wanted")
+	}
+	if b.Tiers.Most > 3 {
+		r.Fault(at(&whole[2]), "tiers: three at most")
+	}
+	if b.Repeats < 1 || b.More < b.Repeats+2 {
+		r.Fault(at(&b.More), "more_repeats: at least two more than repeats are wanted, to measure on plays that did not choose")
+	}
+	for _, k := range b.Kinds {
+		hclbody.OneOf(r, at(&b.Kinds), "fault_kinds", k, kinds...)
+	}
+	for _, p := range b.Rivals {
+		hclbody.OneOf(r, at(&b.Rivals), "rivals", p, rival.Names...)
+	}
+	if len(b.Rivals) == 0 {
+		r.Fault(at(&b.Rivals), "rivals: at least one is wanted")
+	}
+	b.Rate, b.Quiet, b.Seems = Span[float64]{float64(rates.least), float64(rates.most)}, float64(quiet), float64(seems)
+}
--- /dev/null
+++ b/internal/lab/search/judge.go
@@ -0,0 +1,225 @@
+package search
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"slices"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"tuliprock/internal/lab"
+	"tuliprock/internal/lab/report"
+)
+
+// Behind is how much less worth makes a site one on which the design is behind, or ahead.
+const Behind = 0.01
+
+// Regret is what the best rival serves, by worth, less what the design serves, below 0 where the design is ahead.
+type Regret struct {
+	Rival    string
+	Mean     float64 // over the plays that did not choose the rival, where there are any
+	Bound    float64 // half of the 95% interval of Mean; infinite where there are too few plays to tell
+	chosenBy float64 // mean over the plays that did
+}
+
+// Sure tells whether the design is behind by more than noise and Behind together.
+func (r Regret) Sure() bool { return r.Mean-r.Bound > 0 && r.Mean > Behind }
+
+// Regret judges a site. The rival that is best on the first repeats is the one compared with, on the other repeats: the best
+// of several on the same plays would seem better than it is.
+func (s Site) Regret(choosing int) Regret {
+	r := Regret{chosenBy: math.Inf(-1)}
+	for _, rival := range slices.Sorted(maps.Keys(s.Worth)) {
+		if rival == Design {
+			continue
+		}
+		if m, _, _ := s.difference(rival, 0, choosing); m > r.chosenBy {
+			r.Rival, r.chosenBy = rival, m
+		}
+	}
+	r.Mean, r.Bound = r.chosenBy, math.Inf(1)
+	if mean, bound, n := s.difference(r.Rival, choosing, len(s.Worth[Design])); n > 0 {
+		r.Mean, r.Bound = mean, bound
+	}
+	return r
+}
+
+// Against is how much more a rival serves, over all plays, below 0 where the design does.
+func (s Site) Against(rival string) float64 {
+	mean, _, _ := s.difference(rival, 0, len(s.Worth[Design]))
+	return mean
+}
+
+// difference is the mean of a rival's worth less the design's over some of the repeats, paired, and half of its 95% interval.
+func (s Site) difference(rival string, from, to int) (mean, bound float64, n int) {
+	to = min(to, len(s.Worth[Design]), len(s.Worth[rival]))
+	sum, squares := 0.0, 0.0
+	for i := from; i < to; i++ {
+		d := s.Worth[rival][i] - s.Worth[Design][i]
+		sum, squares, n = sum+d, squares+d*d, n+1
+	}
+	if n < 2 {
+		return sum / max(float64(n), 1), math.Inf(1), n
+	}
+	mean = sum / float64(n)
+	variance := max(squares-sum*mean, 0) / float64(n-1)
+	return mean, report.Student(float64(n-1)) * math.Sqrt(variance/float64(n)), n
+}
+
+// Summary is what a search came to.
+type Summary struct {
+	Sites   int
+	Regrets []float64 // in rising order
+	Behind  int       // sites where the design is surely behind the best rival by more than Behind
+	Rivals  []Versus
+	Broken  map[string]int // sites on which a policy broke a rule
+	Worst   []Finding      // by regret, the largest first
+}
+
+// Versus compares the design with one rival on all sites.
+type Versus struct {
+	Rival         string
+	Mean          float64 // of the rival's worth less the design's
+	Behind, Ahead int     // sites where the design is so by more than Behind
+}
+
+// Finding is a site on which the design is behind.
+type Finding struct {
+	Site
+	Judged Regret
+}
+
+// Summarise judges all sites of a search.
+func Summarise(b *Bounds, sites []Site) Summary {
+	out := Summary{Sites: len(sites), Broken: map[string]int{}}
+	for _, rival := range b.Rivals {
+		out.Rivals = append(out.Rivals, Versus{Rival: rival})
+	}
+	for _, s := range sites {
+		r := s.Regret(b.Repeats)
+		out.Regrets = append(out.Regrets, r.Mean)
+		if r.Sure() {
+			out.Behind++
+			out.Worst = append(out.Worst, Finding{s, r})
+		}
+		for i := range out.Rivals {
+			v := &out.Rivals[i]
+			d := s.Against(v.Rival)
+			v.Mean += d / float64(len(sites))
+			if d > Behind {
+				v.Behind++
+			} else if d < -Behind {
+				v.Ahead++
+			}
+		}
+		for policy, rules := range s.Broken {
+			if len(rules) > 0 {
+				out.Broken[policy]++
+			}
+		}
+	}
+	slices.Sort(out.Regrets)
+	slices.SortStableFunc(out.Worst, func(x, y Finding) int { return cmp.Compare(y.Judged.Mean, x.Judged.Mean) })
+	return out
+}
+
+// Quantile gives a quantile of the regrets.
+func (s Summary) Quantile(q float64) float64 {
+	if len(s.Regrets) == 0 {
+		return 0
+	}
+	return s.Regrets[int(q*float64(len(s.Regrets)-1))]
+}
+
+// Text writes a summary, with the worst sites drawn again for their description.
+func (s Summary) Text(w io.Writer, b *Bounds, seed uint64, worst int) {
+	share := float64(s.Behind) / max(float64(s.Sites), 1)
+	fmt.Fprintf(w, "%d sites: the design is behind the best of %d rivals by more than 1 point, and by more than noise, on %d (%.2f%%, ±%.2f)\n",
+		s.Sites, len(s.Rivals), s.Behind, 100*share, 196*math.Sqrt(share*(1-share)/max(float64(s.Sites), 1)))
+	fmt.Fprint(w, "regret in points:")
+	for _, q := range []float64{0.01, 0.1, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 1} {
+		fmt.Fprintf(w, "  %g%%: %.2f", 100*q, 100*s.Quantile(q))
+	}
+	fmt.Fprintf(w, "\n%-18s %12s %12s %14s %14s\n", "rival", "behind it", "ahead of it", "mean, points", "it broke rules")
+	for _, v := range s.Rivals {
+		fmt.Fprintf(w, "%-18s %11.2f%% %11.2f%% %+14.3f %13.2f%%\n", v.Rival, 100*float64(v.Behind)/float64(s.Sites),
+			100*float64(v.Ahead)/float64(s.Sites), -100*v.Mean, 100*float64(s.Broken[v.Rival])/float64(s.Sites))
+	}
+	fmt.Fprintf(w, "the design broke rules on %d sites\n", s.Broken[Design])
+	for i, f := range s.Worst[:min(worst, len(s.Worst))] {
+		fmt.Fprintf(w, "%2d. site %d: %.1f ±%.1f points behind %s, refused or failed %.1f%%: %s\n", i+1, f.N, 100*f.Judged.Mean,
+			100*f.Judged.Bound, f.Judged.Rival, 100*f.Failed[0], Describe(Draw(b, seed, f.N)))
+	}
+}
+
+// Describe words a site in a line.
+func Describe(e *lab.Experiment) string {
+	s := &e.Site
+	out := fmt.Sprintf("%d instances, ", s.Balancers)
+	for i, t := range s.Tiers {
+		if i > 0 {
+			out += " > "
+		}
+		out += fmt.Sprint(t.Boxes)
+	}
+	capacity, work := 0.0, 0.0
+	for _, k := range s.Tiers[0].Kinds {
+		capacity += k.Share * float64(k.Cores) * k.Speed * float64(s.Tiers[0].Boxes)
+	}
+	shares := 0.0
+	for _, c := range s.Classes {
+		work += c.Share * (c.Hits*c.HitWork.Seconds() + (1-c.Hits)*c.Work.Seconds())
+		shares += c.Share
+	}
+	out += fmt.Sprintf(" boxes, %.3g/s (load %.2f) of %.3g ms for %v", e.Load.Rate, e.Load.Rate*work/shares*s.Tiers[0].Work/capacity,
+		1000*work/shares, e.Duration)
+	for _, c := range s.Classes {
+		out += fmt.Sprintf(", %s aim %v", c.Spread, c.Aim)
+		if c.Hits > 0 {
+			out += fmt.Sprintf(" hits %g of %v", c.Hits, c.HitWork)
+		}
+		if c.Effect != 0 {
+			out += " unsafe"
+		}
+	}
+	for _, st := range e.Load.Steps {
+		out += fmt.Sprintf(", step x%g at %v", st.Factor, st.At)
+	}
+	for _, f := range e.Faults {
+		out += fmt.Sprintf(", %s at %v for %v (%g of %s, size %g)", f.Kind, f.At, f.For, f.Part, cmp.Or(f.Tier, "all"), f.Size)
+	}
+	return out
+}
+
+// Plot draws the distributions of regret of searches, by name, in the order given, as SVG.
+func Plot(w io.Writer, names []string, of []Summary) error {
+	p := plot.New()
+	p.X.Label.Text, p.Y.Label.Text = "share of sites", "regret, points"
+	p.Legend.Top, p.Legend.Left = true, true
+	for i, s := range of {
+		var xy plotter.XYs
+		for n, r := range s.Regrets {
+			xy = append(xy, plotter.XY{X: float64(n+1) / float64(len(s.Regrets)), Y: max(min(100*r, 30), -30)})
+		}
+		l, err := plotter.NewLine(xy)
+		if err != nil {
+			return err
+		}
+		l.Color, l.Width = plotutil.Color(i), vg.Points(1.2)
+		p.Add(l)
+		p.Legend.Add(names[i], l)
+	}
+	p.Add(plotter.NewGrid())
+	to, err := p.WriterTo(16*vg.Centimeter, 9*vg.Centimeter, "svg")
+	if err != nil {
+		return err
+	}
+	_, err = to.WriteTo(w)
+	return err
+}
--- /dev/null
+++ b/internal/lab/search/search.go
@@ -0,0 +1,212 @@
+package search
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"tuliprock/internal/lab"
+	"tuliprock/internal/lab/tally"
+	"tuliprock/internal/lab/virtual"
+)
+
+// Site is what the plays of one site came to.
+type Site struct {
+	N        int                  `json:"site"`
+	Worth    map[string][]float64 `json:"worth"`            // served in time, as a share, by policy and repeat
+	Failed   []float64            `json:"failed"`           // share of requests that the design refused or failed, by repeat
+	Broken   map[string][]string  `json:"broken,omitempty"` // rules, by policy
+	Requests int64                `json:"requests"`         // in the first repeat
+}
+
+// header is the first line of a file of results: what they hang on beside the program.
+type header struct {
+	Search string `json:"search"`
+	Digest uint64 `json:"bounds"`
+	Seed   uint64 `json:"seed"`
+}
+
+// Options say which sites are played.
+type Options struct {
+	Seed     uint64
+	From, To int // sites, To not included
+	Out      string
+	Progress func(done, all int)
+}
+
+// Run plays sites on all cores and appends each to the file of results. Sites that stand there are not played again, so that a
+// run that was stopped goes on.
+func Run(ctx context.Context, b *Bounds, o Options) error {
+	h := header{b.Name, b.Digest, o.Seed}
+	done := map[int]bool{}
+	whole, err := scan(o.Out, func(found header) error {
+		if found != h {
+			return fmt.Errorf("%s holds results of other bounds or another seed (search %q, seed %d)", o.Out, found.Search, found.Seed)
+		}
+		return nil
+	}, func(s Site) { done[s.N] = true })
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	f, err := os.OpenFile(o.Out, os.O_CREATE|os.O_RDWR, 0o644)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := f.Truncate(whole); err != nil { // what a kill left of a line
+		return err
+	}
+	if _, err := f.Seek(whole, io.SeekStart); err != nil {
+		return err
+	}
+	if whole == 0 {
+		if err := line(f, h); err != nil {
+			return err
+		}
+	}
+	defer debug.SetGCPercent(debug.SetGCPercent(400)) // plays make much garbage and keep little
+	group, working := errgroup.WithContext(ctx)
+	group.SetLimit(runtime.GOMAXPROCS(0))
+	var mu sync.Mutex
+	for n := o.From; n < o.To && working.Err() == nil; n++ {
+		if done[n] {
+			continue
+		}
+		group.Go(func() error {
+			s, err := Play(working, b, o.Seed, n)
+			if err != nil {
+				return fmt.Errorf("site %d: %w", n, err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			done[n] = true
+			if o.Progress != nil {
+				o.Progress(len(done), o.To-o.From)
+			}
+			return line(f, s)
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	return ctx.Err()
+}
+
+func line(w io.Writer, v any) error {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(append(text, '\n'))
+	return err
+}
+
+// Read gives the sites of a file of results, in order.
+func Read(path string) ([]Site, error) {
+	var sites []Site
+	if _, err := scan(path, func(header) error { return nil }, func(s Site) { sites = append(sites, s) }); err != nil {
+		return nil, err
+	}
+	slices.SortFunc(sites, func(x, y Site) int { return x.N - y.N })
+	return slices.CompactFunc(sites, func(x, y Site) bool { return x.N == y.N }), nil
+}
+
+// scan reads a file of results and tells up to where its lines are whole.
+func scan(path string, head func(header) error, each func(Site)) (whole int64, err error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return 0, err
+	}
+	defer f.Close()
+	r := bufio.NewReader(f)
+	for n := 1; ; n++ {
+		text, err := r.ReadBytes('\n')
+		if errors.Is(err, io.EOF) {
+			return whole, nil
+		}
+		if err != nil {
+			return whole, err
+		}
+		if n == 1 {
+			var h header
+			if err := json.Unmarshal(text, &h); err != nil || h.Search == "" {
+				return whole, fmt.Errorf("%s:1: no file of a search's results", path)
+			}
+			if err := head(h); err != nil {
+				return whole, err
+			}
+		} else {
+			var s Site
+			if err := json.Unmarshal(text, &s); err != nil {
+				return whole, fmt.Errorf("%s:%d: %w", path, n, err)
+			}
+			each(s)
+		}
+		whole += int64(len(text))
+	}
+}
+
+// Play plays one site: the design and its rivals with common random numbers, and more often where the design seems behind.
+func Play(ctx context.Context, b *Bounds, seed uint64, n int) (Site, error) {
+	e := Draw(b, seed, n)
+	s := Site{N: n, Worth: map[string][]float64{}, Broken: map[string][]string{}}
+	for repeat := range b.More {
+		if repeat >= b.Repeats && s.Regret(b.Repeats).chosenBy <= b.Seems {
+			break
+		}
+		for _, policy := range append([]string{Design}, b.Rivals...) {
+			got, err := play(ctx, e, policy, uint64(repeat)+1)
+			if err != nil {
+				return s, err
+			}
+			s.Worth[policy] = append(s.Worth[policy], got.Worth)
+			if policy == Design {
+				s.Failed = append(s.Failed, got.Failed)
+				if repeat == 0 {
+					s.Requests = got.Requests
+				}
+			}
+			for _, rule := range got.Broken {
+				if !slices.Contains(s.Broken[policy], rule) {
+					s.Broken[policy] = append(s.Broken[policy], rule)
+				}
+			}
+		}
+	}
+	return s, nil
+}
+
+// played is one play of one policy.
+type played struct {
+	Worth, Failed float64
+	Requests      int64
+	Broken        []string
+}
+
+func play(ctx context.Context, e *lab.Experiment, policy string, seed uint64) (played, error) {
+	got, err := virtual.Run(ctx, e, lab.Arm{Name: policy, Policy: policy}, seed, virtual.Options{})
+	if err != nil {
+		return played{}, err
+	}
+	t := got.Tally
+	out := played{Worth: 1, Failed: t.Total.Share(tally.Refused) + t.Total.Share(tally.Failed), Requests: t.Total.Offered()}
+	if t.Worth > 0 {
+		out.Worth = t.Earned / t.Worth
+	}
+	for _, v := range got.Verdicts {
+		if v.Broken > 0 {
+			out.Broken = append(out.Broken, string(v.Rule))
+		}
+	}
+	return out, nil
+}
--- a/internal/lab/traffic/traffic.go
+++ b/internal/lab/traffic/traffic.go
@@ -113,6 +113,9 @@
 
 // Work draws the work of one request of a class, in seconds.
 func Work(c lab.Class, rng *rand.Rand) float64 {
+	if c.Hits > 0 && rng.Float64() < c.Hits {
+		return c.HitWork.Seconds()
+	}
 	mean := c.Work.Seconds()
 	switch c.Spread {
 	case lab.Fixed:
