lab search: count what is played beside the set of what was

Cause: the set of sites that stand in the file was written by plays while the loop read it, which the race detector shows. Change: the set is read only, and a number counts on. Result: clean under -race, five times.

--- a/internal/lab/search/search.go
+++ b/internal/lab/search/search.go
@@ -78,6 +78,12 @@
 	group, working := errgroup.WithContext(ctx)
 	group.SetLimit(runtime.GOMAXPROCS(0))
 	var mu sync.Mutex
+	played := 0
+	for n := range done {
+		if n >= o.From && n < o.To {
+			played++
+		}
+	}
 	for n := o.From; n < o.To && working.Err() == nil; n++ {
 		if done[n] {
 			continue
@@ -89,9 +95,9 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			done[n] = true
+			played++
 			if o.Progress != nil {
-				o.Progress(len(done), o.To-o.From)
+				o.Progress(played, o.To-o.From)
 			}
 			return line(f, s)
 		})
