--- a/api.go
+++ b/api.go
@@ -42,9 +42,9 @@
 	Cancel(id string, n int)
 	// Refuse answers a request for good and tells the client that trying again is harmless, best not
 	// before retryAfter has passed (0: no advice).
-	Refuse(id string, retryAfter time.Duration)
+	Refuse(id string, why Reason, retryAfter time.Duration)
 	// Fail answers a request for good and promises nothing about its effect.
-	Fail(id string)
+	Fail(id string, why Reason)
 	// Probe asks an endpoint for its load without sending it a request.
 	Probe(endpoint string)
 	// Subscribe asks discovery for all changes from now on; an EndpointList answers.
--- a/balancer.go
+++ b/balancer.go
@@ -142,7 +142,7 @@
 // renew puts a new or restarted endpoint outside the active set, its trial at a random moment of the caller's
 // turn: all callers hear of it at once. What was warm before this balancer began is no newcomer.
 func (b *Balancer) renew(now time.Duration, e *endpoint, first bool) {
-	e.active = first && b.warmth(now, e) == 1
+	e.active, e.out = first && b.warmth(now, e) == 1, OutNew
 	e.backoff = b.firstBackoff(now)
 	e.trialAt = now + seconds(b.rng.Float64()*max(b.turnGap(now), b.coldGap(now, e)).Seconds())
 	e.sum, e.samples, e.deficit = 0, 0, b.zero(e)+b.rng.Float64()
@@ -213,8 +213,12 @@
 	b.resends.earn(now)
 	over := b.overShare(now, q)
 	pressed := len(b.waiting) > 0 || float64(b.out) > overRoom*b.room || b.rate(now) > allShares*b.quota
-	if now >= q.giveUp || pressed && over || len(b.waiting) > 0 && !b.inTime(now, q, hopeless) {
-		b.end(now, q)
+	if now >= q.giveUp || len(b.waiting) > 0 && !b.inTime(now, q, hopeless) {
+		b.end(now, q, TooLate)
+		return
+	}
+	if pressed && over {
+		b.end(now, q, OverQuota)
 		return
 	}
 	if !b.s.MayProbe || !b.probe(now, q) {
@@ -287,7 +291,7 @@
 		return
 	}
 	if p.Result != OK && e.active {
-		b.drop(now, e)
+		b.drop(now, e, OutUnreached)
 	} else if p.Load.Known {
 		e.held, e.heldAt = p.Load.Held, now
 		b.held += (p.Load.Held - b.held) * meanGain
@@ -422,7 +426,7 @@
 	}
 	if !q.held {
 		if len(q.attempts) == 0 && b.queueFull(q.class) {
-			b.end(now, q)
+			b.end(now, q, cmp.Or(b.outage(), QueueFull))
 			return
 		}
 		q.held, b.waiting = true, append(b.waiting, q)
@@ -525,7 +529,7 @@
 // none: copies would feed the overload that makes answers slow.
 func (b *Balancer) copy(now time.Duration, q *request) {
 	q.copyAt, q.copying = 0, true
-	if q.outs() == 1 && float64(b.out) < overRoom*b.room && b.mayTry(now, q, false) {
+	if q.outs() == 1 && float64(b.out) < overRoom*b.room && b.whyNot(now, q, false) == "" {
 		if e := b.pick(now, q, search{in: &b.turns}, search{in: &b.trials}); e != nil && !q.tried(e) {
 			q.copied = true
 			b.resends.spend()
@@ -575,17 +579,27 @@
 	case q.done || o.Final || o.Result == OK:
 		b.close(q)
 	case q.held || q.outs() > 0:
-	case b.mayTry(now, q, free) && b.anyLeft(now, q):
+	default:
+		if why := b.whyNot(now, q, free); why != "" {
+			b.end(now, q, why)
+			break
+		}
 		if !free {
 			b.resends.spend()
 		}
 		b.dispatch(now, q)
-	default:
-		b.end(now, q)
 	}
 	b.release(now)
 }
 
+// outage is the reason when no endpoint takes new work, else none.
+func (b *Balancer) outage() Reason {
+	if b.ready == 0 {
+		return NoEndpoint
+	}
+	return ""
+}
+
 // anyLeft tells whether some endpoint may get the request again. One is as good as another, unless repeats
 // are dropped in groups: then those that it may go to are found by looking.
 func (b *Balancer) anyLeft(now time.Duration, q *request) bool {
@@ -597,10 +611,23 @@
 	return q.class.Effect == Keyed && q.class.Group != GroupAll && slices.ContainsFunc(b.endpoints, may)
 }
 
-// mayTry tells whether limit, time and budget allow one more attempt. Resends must not multiply over tiers.
-func (b *Balancer) mayTry(now time.Duration, q *request, free bool) bool {
+// whyNot tells what rules one more attempt out: rules, limit, time or budget. Resends must not multiply over
+// tiers.
+func (b *Balancer) whyNot(now time.Duration, q *request, free bool) Reason {
 	most := cmp.Or(q.class.MaxAttempts, b.s.MaxAttempts)
-	return (most <= 0 || len(q.attempts) < most) && (free || b.resends.left()) && b.inTime(now, q, 1)
+	switch {
+	case b.ready == 0:
+		return NoEndpoint
+	case !b.anyLeft(now, q):
+		return MayHaveRun
+	case most > 0 && len(q.attempts) >= most:
+		return NoAttempt
+	case !free && !b.resends.left():
+		return NoBudget
+	case !b.inTime(now, q, 1):
+		return TooLate
+	}
+	return ""
 }
 
 // free tells whether the attempt after one that has just ended is beside the budget, which guards against
@@ -616,11 +643,11 @@
 }
 
 // end gives the final answer: refused if that is true, else failed.
-func (b *Balancer) end(now time.Duration, q *request) {
+func (b *Balancer) end(now time.Duration, q *request, why Reason) {
 	if q.mayRefuse() {
-		b.host.Refuse(q.ID, min(b.jitter(retryAdvice), b.s.MaxRetryAfter))
+		b.host.Refuse(q.ID, why, min(b.jitter(retryAdvice), b.s.MaxRetryAfter))
 	} else {
-		b.host.Fail(q.ID)
+		b.host.Fail(q.ID, why)
 	}
 	b.close(q)
 }
@@ -662,8 +689,13 @@
 	}
 	b.sample(now, e, stretch)
 	// Nobody is there, or it is the last one active: what fails must not pass for the best.
-	if failed && e.active && (r == ConnectFailed || len(b.turns.list) == 1 && len(b.trials.list) > 0) {
-		b.drop(now, e)
+	if out := OutFailing; failed && e.active {
+		if r == ConnectFailed {
+			out = OutUnreached
+		}
+		if r == ConnectFailed || len(b.turns.list) == 1 && len(b.trials.list) > 0 {
+			b.drop(now, e, out)
+		}
 	}
 }
 
@@ -698,7 +730,7 @@
 	e.sum, e.samples, e.sampledAt = e.sum*old+stretch/e.kind.w, e.samples*old+1, now
 	b.place(e)
 	if e.active && b.tooSlow(e) {
-		b.drop(now, e)
+		b.drop(now, e, OutSlow)
 	}
 }
 
@@ -712,8 +744,8 @@
 	return e.w() > most*b.smallest()
 }
 
-func (b *Balancer) drop(now time.Duration, e *endpoint) {
-	e.active, e.backoff = false, b.firstBackoff(now)
+func (b *Balancer) drop(now time.Duration, e *endpoint, out Out) {
+	e.active, e.out, e.backoff = false, out, b.firstBackoff(now)
 	b.backOff(now, e, false)
 }
 
@@ -748,10 +780,14 @@
 	}
 	for _, q := range slices.Clone(b.live) {
 		if now >= q.giveUp || q.held && now >= b.holdEnd(q) {
+			why := cmp.Or(b.outage(), TooLate)
+			if why == TooLate && q.held && len(q.attempts) == 0 {
+				why = NoRoom
+			}
 			if len(q.attempts) == 0 {
 				b.log(now, "full", fmt.Sprintf("no endpoint has room, %d requests wait", len(b.waiting)))
 			}
-			b.end(now, q)
+			b.end(now, q, why)
 			continue
 		}
 		if q.copyAt > 0 && now >= q.copyAt {
@@ -780,7 +816,7 @@
 		b.sample(now, e, min((now-a.sent).Seconds()/b.expected(q), penaltyMost))
 		if e.active && silent {
 			b.log(now, "silent", e.ID+" answers nothing and gets trials only")
-			b.drop(now, e)
+			b.drop(now, e, OutSilent)
 		}
 	}
 }
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -29,13 +29,15 @@
 	r.to[id] = append(r.to[id], ep)
 	r.sentAt[id] = r.now
 }
-func (r *rig) Cancel(id string, n int)           { r.did = append(r.did, fmt.Sprint("cancel ", id, " ", n)) }
-func (r *rig) Refuse(id string, _ time.Duration) { r.did = append(r.did, "refuse "+id) }
-func (r *rig) Fail(id string)                    { r.did = append(r.did, "fail "+id) }
-func (r *rig) Probe(ep string)                   { r.did = append(r.did, "probe "+ep) }
-func (r *rig) Subscribe()                        { r.did = append(r.did, "subscribe") }
-func (r *rig) Timer(at time.Duration)            { r.timer = append(r.timer, at) }
-func (r *rig) Log(string)                        {}
+func (r *rig) Cancel(id string, n int) { r.did = append(r.did, fmt.Sprint("cancel ", id, " ", n)) }
+func (r *rig) Refuse(id string, _ tuliprock.Reason, _ time.Duration) {
+	r.did = append(r.did, "refuse "+id)
+}
+func (r *rig) Fail(id string, _ tuliprock.Reason) { r.did = append(r.did, "fail "+id) }
+func (r *rig) Probe(ep string)                    { r.did = append(r.did, "probe "+ep) }
+func (r *rig) Subscribe()                         { r.did = append(r.did, "subscribe") }
+func (r *rig) Timer(at time.Duration)             { r.timer = append(r.timer, at) }
+func (r *rig) Log(string)                         {}
 
 func basic() tuliprock.Settings {
 	return tuliprock.Settings{Balancers: 1, MaxAttempts: 4, MayCancel: true, Resolution: ms,
--- a/bench_test.go
+++ b/bench_test.go
@@ -11,14 +11,14 @@
 // mute is a host that only remembers where the latest send went.
 type mute struct{ endpoint string }
 
-func (m *mute) Send(_, endpoint string, _ time.Duration) { m.endpoint = endpoint }
-func (*mute) Cancel(string, int)                         {}
-func (*mute) Refuse(string, time.Duration)               {}
-func (*mute) Fail(string)                                {}
-func (*mute) Probe(string)                               {}
-func (*mute) Subscribe()                                 {}
-func (*mute) Timer(time.Duration)                        {}
-func (*mute) Log(string)                                 {}
+func (m *mute) Send(_, endpoint string, _ time.Duration)     { m.endpoint = endpoint }
+func (*mute) Cancel(string, int)                             {}
+func (*mute) Refuse(string, tuliprock.Reason, time.Duration) {}
+func (*mute) Fail(string, tuliprock.Reason)                  {}
+func (*mute) Probe(string)                                   {}
+func (*mute) Subscribe()                                     {}
+func (*mute) Timer(time.Duration)                            {}
+func (*mute) Log(string)                                     {}
 
 // BenchmarkModule measures decisions by the number of endpoints: request is one with its outcome on a calm day, change is
 // one endpoint that drains or is back, and whole is a whole list in which nothing has changed.
--- a/example_test.go
+++ b/example_test.go
@@ -13,13 +13,15 @@
 func (printer) Send(id, endpoint string, timeout time.Duration) {
 	fmt.Println("send", id, "to", endpoint)
 }
-func (printer) Cancel(id string, n int)                    { fmt.Println("cancel", id, n) }
-func (printer) Refuse(id string, retryAfter time.Duration) { fmt.Println("refuse", id) }
-func (printer) Fail(id string)                             { fmt.Println("fail", id) }
-func (printer) Probe(endpoint string)                      { fmt.Println("probe", endpoint) }
-func (printer) Subscribe()                                 { fmt.Println("subscribe") }
-func (printer) Timer(at time.Duration)                     {}
-func (printer) Log(line string)                            { fmt.Println(line) }
+func (printer) Cancel(id string, n int) { fmt.Println("cancel", id, n) }
+func (printer) Refuse(id string, why tuliprock.Reason, retryAfter time.Duration) {
+	fmt.Println("refuse", id, why)
+}
+func (printer) Fail(id string, why tuliprock.Reason) { fmt.Println("fail", id) }
+func (printer) Probe(endpoint string)                { fmt.Println("probe", endpoint) }
+func (printer) Subscribe()                           { fmt.Println("subscribe") }
+func (printer) Timer(at time.Duration)               {}
+func (printer) Log(line string)                      { fmt.Println(line) }
 
 func Example() {
 	b := tuliprock.New(0, tuliprock.Settings{
@@ -39,5 +41,5 @@
 	// Output:
 	// send r1 to 10.0.0.1:80
 	// full: no endpoint has room, 1 requests wait
-	// refuse r2
+	// refuse r2 no_endpoint
 }
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -1,8 +1,8 @@
 package daemon
 
 import (
-	"context"
 	"encoding/json"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"tuliprock"
 	"tuliprock/internal/engine"
 	"tuliprock/internal/limit"
 )
@@ -42,9 +43,51 @@
 	Name   string `json:"name"`
 	Ending bool   `json:"ending,omitempty"` // the configuration has it no more, or another of its name
 	engine.Stats
-	Roster string `json:"roster_error,omitempty"` // why the roster as it is now is not in force
+	Roster    string           `json:"roster_error,omitempty"` // why the roster as it is now is not in force
+	Endpoints []EndpointStatus `json:"endpoints"`              // the first endpointsMost of them
+	Unlisted  int              `json:"endpoints_unlisted,omitempty"`
 }
 
+// endpointsMost bounds what one status tells of endpoints.
+const endpointsMost = 1000
+
+// EndpointStatus is what is told of an endpoint.
+type EndpointStatus struct {
+	ID       string  `json:"id"`
+	Address  string  `json:"address"`
+	State    string  `json:"state"`         // ready or draining, as the roster says
+	Out      string  `json:"out,omitempty"` // why it gets no ordinary turns
+	TrialIn  string  `json:"trial_in,omitempty"`
+	Weight   float64 `json:"weight"` // what it takes, in multiples of what calls take when all is calm
+	Errors   float64 `json:"errors"` // share of recent outcomes
+	InFlight int     `json:"in_flight"`
+	Idle     int     `json:"idle_connections"`
+	Warmth   float64 `json:"warmth"`
+	Answered string  `json:"answered_ago,omitempty"` // absent: it never has
+	Fault    string  `json:"fault,omitempty"`        // how the latest attempt failed, until one succeeds
+}
+
+func endpointStatus(e engine.Endpoint) EndpointStatus {
+	s := EndpointStatus{ID: e.ID, Address: e.Addr, State: "ready", Out: string(e.Out), Weight: rounded(e.Weight), Errors: rounded(e.Errors),
+		InFlight: e.InFlight, Idle: e.Idle, Warmth: rounded(e.Warmth), Fault: e.Fault}
+	if e.State != tuliprock.Ready {
+		s.State = "draining"
+	}
+	if e.Answered >= 0 {
+		s.Answered = e.Answered.Round(time.Millisecond).String()
+	}
+	switch {
+	case e.Out == "" || e.Out == tuliprock.OutAside:
+	case e.TrialIn < 0:
+		s.TrialIn = "under way"
+	default:
+		s.TrialIn = e.TrialIn.Round(time.Millisecond).String()
+	}
+	return s
+}
+
+func rounded(x float64) float64 { return math.Round(x*1000) / 1000 }
+
 // RouteStatus is what is told of a route.
 type RouteStatus struct {
 	Name     string `json:"name"`
@@ -54,15 +97,25 @@
 	Tenants  int    `json:"tenants"` // told apart at present
 }
 
-// Status tells how the daemon is.
-func (d *Daemon) Status(ctx context.Context) Status {
+// Status tells how the daemon is, and where asked how each endpoint stands.
+func (d *Daemon) Status(endpoints bool) Status {
 	d.reloading.Lock()
 	pools, now := slices.Clone(d.pools), d.now
 	s := Status{Draining: len(d.retired)}
 	d.reloading.Unlock()
 	slices.SortStableFunc(pools, func(x, y *pool) int { return strings.Compare(x.name, y.name) })
 	for _, p := range pools {
-		s.Pools = append(s.Pools, PoolStatus{Name: p.name, Ending: now.pools[p.name] != p, Stats: p.engine.Stats(), Roster: p.fault()})
+		ps := PoolStatus{Name: p.name, Ending: now.pools[p.name] != p, Stats: p.engine.Stats(), Roster: p.fault()}
+		if endpoints {
+			for _, e := range p.engine.Endpoints() {
+				if len(ps.Endpoints) == endpointsMost {
+					ps.Unlisted++
+					continue
+				}
+				ps.Endpoints = append(ps.Endpoints, endpointStatus(e))
+			}
+		}
+		s.Pools = append(s.Pools, ps)
 	}
 	d.mu.RLock()
 	defer d.mu.RUnlock()
@@ -86,13 +139,11 @@
 func (d *Daemon) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
-	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) {
-		ctx, cancel := context.WithTimeout(r.Context(), time.Second)
-		defer cancel()
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		e := json.NewEncoder(w)
 		e.SetIndent("", "  ")
-		_ = e.Encode(d.Status(ctx)) // an error means that the reader has left
+		_ = e.Encode(d.Status(true)) // an error means that the reader has left
 	})
 	mux.HandleFunc("POST /reload", func(w http.ResponseWriter, _ *http.Request) {
 		if err := d.Reload(); err != nil {
@@ -110,6 +161,7 @@
 	registry *prometheus.Registry
 	answers  *prometheus.CounterVec
 	limits   *prometheus.CounterVec
+	unserved *prometheus.CounterVec
 	took     *prometheus.HistogramVec
 	worth    *prometheus.CounterVec
 }
@@ -120,6 +172,7 @@
 	route string
 	kinds map[engine.Kind]prometheus.Counter
 	bad   prometheus.Counter
+	why   map[tuliprock.Reason]prometheus.Counter
 	took  prometheus.Observer
 	worth map[engine.Kind]prometheus.Counter
 	each  float64 // worth of an answer
@@ -138,13 +191,19 @@
 	}
 	m.worth = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "rowancart_worth_total",
 		Help: "Worth of final answers as their classes state it, by route and kind."}, []string{"route", "kind"})
-	m.registry.MustRegister(m.answers, m.limits, m.took, m.worth, &collector{d})
+	m.unserved = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "rowancart_unserved_total",
+		Help: "Requests refused or failed, by route and reason."}, []string{"route", "reason"})
+	m.registry.MustRegister(m.answers, m.unserved, m.limits, m.took, m.worth, &collector{d})
 	return m
 }
 
 func (m *meter) route(name string, worth float64) *routeMeter {
 	r := &routeMeter{m: m, route: name, each: worth, worth: map[engine.Kind]prometheus.Counter{}, kinds: map[engine.Kind]prometheus.Counter{}, took: m.took.WithLabelValues(name),
 		bad: m.answers.WithLabelValues(name, "improper")}
+	r.why = map[tuliprock.Reason]prometheus.Counter{}
+	for _, why := range tuliprock.Reasons {
+		r.why[why] = m.unserved.WithLabelValues(name, string(why))
+	}
 	for kind, word := range kindNames {
 		r.kinds[kind] = m.answers.WithLabelValues(name, word)
 		r.worth[kind] = m.worth.WithLabelValues(name, word)
@@ -157,17 +216,21 @@
 	labels := prometheus.Labels{"route": route}
 	m.answers.DeletePartialMatch(labels)
 	m.limits.DeletePartialMatch(labels)
+	m.unserved.DeletePartialMatch(labels)
 	m.took.DeletePartialMatch(labels)
 	m.worth.DeletePartialMatch(labels)
 }
 
-func (r *routeMeter) over(taken bool, k engine.Kind, took time.Duration) {
+func (r *routeMeter) over(taken bool, a engine.Reply, took time.Duration) {
 	if !taken {
 		r.bad.Inc()
 		return
 	}
-	r.kinds[k].Inc()
-	r.worth[k].Add(r.each)
+	r.kinds[a.Kind].Inc()
+	r.worth[a.Kind].Add(r.each)
+	if c := r.why[a.Why]; c != nil {
+		c.Inc()
+	}
 	r.took.Observe(took.Seconds())
 }
 
@@ -197,9 +260,7 @@
 
 // Collect implements prometheus.Collector.
 func (c *collector) Collect(out chan<- prometheus.Metric) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	s := c.d.Status(ctx)
+	s := c.d.Status(false)
 	gauge := func(d *prometheus.Desc, v int, labels ...string) {
 		out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, float64(v), labels...)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -186,7 +186,7 @@
 			return nil, fmt.Errorf("listener %q: %w", want.Name, err)
 		}
 		l := &listener{name: want.Name, address: want.Address, conns: plain.NewShedding(nl, c.Limits.Connections/len(c.Listeners)), daemon: d}
-		l.front = plain.New(l, want.Address, d.log)
+		l.front = plain.New(l, "rowancart", want.Address, d.log)
 		l.front.RoundAdvice()
 		opened = append(opened, l)
 	}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -286,12 +286,12 @@
 	if status, _, _ := s.ask(http.MethodGet, "/x"); status != http.StatusOK || next.Requests.Load() != 1 {
 		t.Errorf("%d, %d at the new pool", status, next.Requests.Load())
 	}
-	if st := s.Status(t.Context()); len(st.Pools) != 2 || st.Draining != 1 {
+	if st := s.Status(false); len(st.Pools) != 2 || st.Draining != 1 {
 		t.Errorf("with a request under way: %+v", st)
 	}
 	close(release)
 	all.Wait()
-	testpeer.Until(t, "the old pool ends", func() bool { st := s.Status(t.Context()); return len(st.Pools) == 1 && st.Draining == 0 })
+	testpeer.Until(t, "the old pool ends", func() bool { st := s.Status(false); return len(st.Pools) == 1 && st.Draining == 0 })
 }
 
 func TestAnEndpointThatMovesToAnotherPoolGetsNothingFromTheOld(t *testing.T) {
@@ -324,7 +324,7 @@
 		if err := s.Reload(); err == nil {
 			t.Errorf("taken: %s", bad)
 		}
-		if st := s.Status(t.Context()); st.Generation != 1 || st.Reloads.LastBad == "" {
+		if st := s.Status(false); st.Generation != 1 || st.Reloads.LastBad == "" {
 			t.Errorf("%+v", st)
 		}
 		if status, _, _ := s.ask(http.MethodGet, "/x"); status != http.StatusOK {
@@ -335,7 +335,7 @@
 		t.Error("the log does not say so")
 	}
 	s.reload(good)
-	if st := s.Status(t.Context()); st.Generation != 2 || st.Reloads.LastBad != "" {
+	if st := s.Status(false); st.Generation != 2 || st.Reloads.LastBad != "" {
 		t.Errorf("%+v", st)
 	}
 }
@@ -377,13 +377,13 @@
 	}
 	testpeer.Until(t, "a serves", says("a"))
 	put(list(b.Addr)[:40]) // half written
-	testpeer.Until(t, "the status says so", func() bool { return strings.Contains(s.Status(t.Context()).Pools[0].Roster, "unexpected EOF") })
+	testpeer.Until(t, "the status says so", func() bool { return strings.Contains(s.Status(false).Pools[0].Roster, "unexpected EOF") })
 	if !says("a")() {
 		t.Error("half a list took a away")
 	}
 	put(list(b.Addr))
 	testpeer.Until(t, "b serves", says("b"))
-	if st := s.Status(t.Context()).Pools[0]; st.Roster != "" || st.Ready != 1 || st.Draining != 1 {
+	if st := s.Status(false).Pools[0]; st.Roster != "" || st.Ready != 1 || st.Draining != 1 {
 		t.Errorf("%+v", st)
 	}
 }
@@ -418,7 +418,7 @@
 	}
 	close(release)
 	all.Wait()
-	testpeer.Until(t, "the listener ends", func() bool { st := s.Status(t.Context()); return len(st.Listeners) == 1 && st.Draining == 0 })
+	testpeer.Until(t, "the listener ends", func() bool { st := s.Status(false); return len(st.Listeners) == 1 && st.Draining == 0 })
 }
 
 // A thousand reloads under load: nothing is lost, nothing is judged by a mixture of two files, and nothing is left behind.
@@ -470,8 +470,8 @@
 	end()
 	load.Wait()
 	transport.CloseIdleConnections()
-	testpeer.Until(t, "old generations end", func() bool { return s.Status(t.Context()).Draining == 0 })
-	st := s.Status(t.Context())
+	testpeer.Until(t, "old generations end", func() bool { return s.Status(false).Draining == 0 })
+	st := s.Status(false)
 	if st.Generation <= reloads || len(st.Pools) != 2 || len(st.Listeners) != 1 {
 		t.Errorf("%+v", st)
 	}
@@ -752,7 +752,7 @@
 		}
 		held = append(held, nc)
 	}
-	testpeer.Until(t, "all places are taken", func() bool { return s.Status(t.Context()).Listeners[0].Connections == 16 })
+	testpeer.Until(t, "all places are taken", func() bool { return s.Status(false).Listeners[0].Connections == 16 })
 	if status, text, h := s.ask(http.MethodGet, "/x"); status != http.StatusServiceUnavailable || text != "too many connections\n" || h.Get("Retry-After") != "1" {
 		t.Errorf("%d %q %v", status, text, h)
 	}
@@ -761,7 +761,7 @@
 	}
 	close(release)
 	all.Wait()
-	if n := s.Status(t.Context()).Listeners[0].TurnedAway; n != 1 {
+	if n := s.Status(false).Listeners[0].TurnedAway; n != 1 {
 		t.Errorf("%d turned away", n)
 	}
 	stop()
--- a/internal/daemon/desk.go
+++ b/internal/daemon/desk.go
@@ -46,12 +46,12 @@
 		if wait > 0 {
 			status = http.StatusTooManyRequests
 		}
-		return plain.Visit{}, &plain.Refusal{Status: status, Reason: "over the limit: " + string(why), RetryAfter: max(wait, placeAdvice)}
+		return plain.Visit{}, &plain.Refusal{Status: status, Reason: "over the limit: " + string(why), Limit: string(why), RetryAfter: max(wait, placeAdvice)}
 	}
 	g.users.Add(1)
 	v := plain.Visit{Engine: s.pool.engine, Class: s.class, Effect: s.Class.Effect, Tenant: tenant, Wait: s.Policy.ClientWaits,
-		MostWait: s.Policy.RequestTimeout, AnyForm: true, Over: func(taken bool, k engine.Kind) {
-			s.meter.over(taken, k, time.Since(arrived))
+		MostWait: s.Policy.RequestTimeout, AnyForm: true, Over: func(taken bool, a engine.Reply) {
+			s.meter.over(taken, a, time.Since(arrived))
 			s.gate.mu.Lock()
 			s.gate.l.Done(pass)
 			s.gate.mu.Unlock()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -46,8 +46,9 @@
 // Reply is the final answer to a call.
 type Reply struct {
 	Kind       Kind
-	RetryAfter time.Duration // for Refused; 0: no advice
-	Answer     Answer        // for Served
+	Why        tuliprock.Reason // for Refused and Failed; empty where the caller has left or the engine has ended
+	RetryAfter time.Duration    // for Refused; 0: no advice
+	Answer     Answer           // for Served
 }
 
 // Call is a request that a front has taken. NewCall makes one.
@@ -117,6 +118,9 @@
 	settle   func(now time.Duration, s tuliprock.Settings)
 	learned  func(now time.Duration) tuliprock.Learned
 	recall   func(now time.Duration, l tuliprock.Learned, ago time.Duration)
+
+	standings func(now time.Duration) []tuliprock.Standing
+
 	mayCall  bool // attempts can be called off: then the goroutine in Do may make them, and is free again when the answer is due
 	alarm    *time.Timer
 	rings    time.Duration // when the alarm is set to
@@ -126,13 +130,24 @@
 	members  map[string]Member
 	timers   []time.Duration           // sorted
 	later    []func(now time.Duration) // events that arose within a Host method
+	unserved map[tuliprock.Reason]*unserved
+}
+
+// tellEvery is the time between two log lines about requests that were not served for one reason.
+const tellEvery = 10 * time.Second
+
+// unserved follows requests that were not served for one reason.
+type unserved struct {
+	since int           // the latest line
+	told  time.Duration // at
 }
 
 // New returns an engine that knows the members given, the first that the module hears of. Run does the work.
 func New(s tuliprock.Settings, known Members, o Options) *Engine {
-	l := &Engine{clock: clock{time.Now()}, done: make(chan struct{}), mayCall: s.MayCancel, upstream: newUpstream(o), ask: o.Subscribe, log: o.Log, calls: map[string]*Call{}, members: map[string]Member{}}
+	l := &Engine{clock: clock{time.Now()}, done: make(chan struct{}), mayCall: s.MayCancel, upstream: newUpstream(o), ask: o.Subscribe, log: o.Log, calls: map[string]*Call{}, members: map[string]Member{},
+		unserved: map[tuliprock.Reason]*unserved{}}
 	b := tuliprock.New(l.clock.now(), s, host{l})
-	l.balancer, l.settle, l.learned, l.recall = b, b.Configure, b.Learned, b.Recall
+	l.balancer, l.settle, l.learned, l.recall, l.standings = b, b.Configure, b.Learned, b.Recall, b.Standings
 	l.alarm = time.AfterFunc(time.Hour, func() { l.post(l.ring) })
 	l.rings = l.clock.now() + time.Hour
 	l.list(l.clock.now(), known)
@@ -254,6 +269,31 @@
 	return s
 }
 
+// Endpoint is how an endpoint stands with an engine.
+type Endpoint struct {
+	tuliprock.Standing
+	Addr  string
+	Idle  int    // connections that wait for their next request
+	Fault string // how the latest attempt that failed did so, until one succeeds
+}
+
+// Endpoints tells how all endpoints stand, in the order in which they were first heard of.
+func (l *Engine) Endpoints() []Endpoint {
+	l.mu.Lock()
+	standings := l.standings(l.clock.now())
+	addrs := make(map[string]string, len(l.members))
+	for id, m := range l.members {
+		addrs[id] = m.Addr
+	}
+	l.mu.Unlock()
+	out := make([]Endpoint, len(standings))
+	for i, s := range standings {
+		out[i] = Endpoint{Standing: s, Addr: addrs[s.ID]}
+		out[i].Idle, out[i].Fault = l.upstream.standing(s.ID)
+	}
+	return out
+}
+
 // Run works until ctx ends. Calls that have no answer by then get Failed.
 func (l *Engine) Run(ctx context.Context) {
 	l.upstream.run(ctx)
@@ -416,12 +456,31 @@
 }
 
 // Refuse implements tuliprock.Host.
-func (h host) Refuse(id string, retryAfter time.Duration) {
-	h.finish(h.calls[id], Reply{Kind: Refused, RetryAfter: retryAfter})
+func (h host) Refuse(id string, why tuliprock.Reason, retryAfter time.Duration) {
+	h.give(id, Reply{Kind: Refused, Why: why, RetryAfter: retryAfter})
 }
 
 // Fail implements tuliprock.Host.
-func (h host) Fail(id string) { h.finish(h.calls[id], Reply{Kind: Failed}) }
+func (h host) Fail(id string, why tuliprock.Reason) { h.give(id, Reply{Kind: Failed, Why: why}) }
+
+// give gives a final answer that is not an endpoint's, and says so now and then: lines must not come as fast as requests.
+func (h host) give(id string, r Reply) {
+	c := h.calls[id]
+	if c == nil || c.over {
+		return
+	}
+	u := h.unserved[r.Why]
+	if u == nil {
+		u = &unserved{}
+		h.unserved[r.Why] = u
+	}
+	u.since++
+	if now := h.clock.now(); u.told == 0 || now-u.told >= tellEvery {
+		h.log.Warn("not served", "why", string(r.Why), "requests", u.since, "latest", id)
+		u.since, u.told = 0, now
+	}
+	h.finish(c, r)
+}
 
 // Probe implements tuliprock.Host. Probing endpoints is ruled out; the settings given to the module never allow it.
 func (h host) Probe(endpoint string) {
--- a/internal/engine/upstream.go
+++ b/internal/engine/upstream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"net"
@@ -69,9 +70,10 @@
 
 // pool holds the idle connections to one endpoint, the one used last at the end.
 type pool struct {
-	addr string
-	keep bool // connections are worth keeping
-	idle []*conn
+	addr  string
+	keep  bool   // connections are worth keeping
+	fault string // how the latest attempt that failed did so; empty once one has succeeded
+	idle  []*conn
 }
 
 // conn is one connection; it carries one attempt at a time.
@@ -168,6 +170,25 @@
 	u.closeLocked(c)
 }
 
+// standing tells how many connections to an endpoint are idle, and how the latest attempt there failed, if it did.
+func (u *upstream) standing(id string) (idle int, fault string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if p := u.pools[id]; p != nil {
+		return len(p.idle), p.fault
+	}
+	return 0, ""
+}
+
+// failed notes how an attempt failed.
+func (u *upstream) failed(id string, err error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if p := u.pools[id]; p != nil {
+		p.fault = err.Error()
+	}
+}
+
 // run closes idle connections that have died or stood too long, until ctx ends; then it closes all idle ones.
 func (u *upstream) run(ctx context.Context) {
 	tick := time.NewTicker(sweepEvery)
@@ -361,7 +382,7 @@
 		u.closeLocked(c)
 		return
 	}
-	c.idleAt = time.Now()
+	c.idleAt, c.pool.fault = time.Now(), ""
 	c.pool.idle = append(c.pool.idle, c)
 }
 
@@ -373,13 +394,19 @@
 		return tuliprock.NotSent, Answer{}
 	}
 	if err != nil {
+		if !l.canceled() {
+			u.failed(id, err)
+		}
 		return l.unlessCanceled(tuliprock.ConnectFailed), Answer{}
 	}
 	if !l.hold(c) || c.SetDeadline(l.deadline) != nil {
 		u.discard(c)
 		return l.unlessCanceled(tuliprock.ConnectFailed), Answer{}
 	}
-	result, a, reusable := c.exchange(l, m, u.relay)
+	result, a, reusable, err := c.exchange(l, m, u.relay)
+	if err != nil && result != tuliprock.Canceled {
+		u.failed(id, err)
+	}
 	if l.hold(nil) && reusable {
 		u.giveBack(c)
 	} else {
@@ -397,14 +424,14 @@
 }
 
 // exchange writes the request and reads the whole answer.
-func (c *conn) exchange(l *leash, m *Message, relay bool) (r tuliprock.Result, a Answer, reusable bool) {
+func (c *conn) exchange(l *leash, m *Message, relay bool) (r tuliprock.Result, a Answer, reusable bool, err error) {
 	// An endpoint begins a request when its last byte has come: one not written whole has not run.
 	if !c.send(m, l.deadline) {
-		return l.unlessCanceled(tuliprock.ConnectFailed), Answer{}, false
+		return l.unlessCanceled(tuliprock.ConnectFailed), Answer{}, false, errNotWritten
 	}
 	a, last, err := c.readAnswer(m.Method)
 	if err != nil {
-		return l.broken(err), Answer{}, false
+		return l.broken(err), Answer{}, false, err
 	}
 	reusable = !last && c.read.Buffered() == 0
 	switch {
@@ -414,13 +441,18 @@
 		} else {
 			maps.DeleteFunc(a.Header, func(name string, _ []string) bool { return name != "Content-Type" })
 		}
-		return tuliprock.OK, a, reusable
+		return tuliprock.OK, a, reusable, nil
 	case isUnavailable(a.Status) && a.Header.Get(declined) == "1":
-		return tuliprock.Full, Answer{}, reusable
+		return tuliprock.Full, Answer{}, reusable, errDeclined
 	}
-	return tuliprock.Errored, Answer{}, reusable
+	return tuliprock.Errored, Answer{}, reusable, fmt.Errorf("the answer was %d", a.Status)
 }
 
+var (
+	errNotWritten = errors.New("the connection broke before the request was written whole")
+	errDeclined   = errors.New("it turned a request away")
+)
+
 func isUnavailable(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout
 }
--- a/internal/front/plain/head_test.go
+++ b/internal/front/plain/head_test.go
@@ -147,7 +147,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	conns, s := NewConns(l, 9), New(echo{n}, "h", log)
+	conns, s := NewConns(l, 9), New(echo{n}, "front", "h", log)
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(conns) }()
 	t.Cleanup(func() {
--- a/internal/front/plain/serve.go
+++ b/internal/front/plain/serve.go
@@ -146,9 +146,9 @@
 	if f != nil {
 		return t.refuse(r, f)
 	}
-	taken, kind := false, engine.Failed
+	taken, reply := false, engine.Reply{Kind: engine.Failed}
 	if v.Over != nil {
-		defer func() { v.Over(taken, kind) }()
+		defer func() { v.Over(taken, reply) }()
 	}
 	c, f := t.read(r, &v, &engine.Message{Body: body, Free: free}, arrived)
 	if f != nil {
@@ -156,10 +156,9 @@
 	}
 	taken = true
 	t.look.start(func() { v.Engine.Leave(c) })
-	a := v.Engine.Do(c)
+	reply = v.Engine.Do(c)
 	t.look.stop()
-	kind = a.Kind
-	return t.answer(r, a) // also where the caller seems to have left: one half-closed may still read
+	return t.answer(r, reply) // also where the caller seems to have left: one half-closed may still read
 }
 
 // readBody reads a body whole, in bounded time.
@@ -194,6 +193,9 @@
 func (t *talk) refuse(r *http.Request, f *Refusal) bool {
 	h := http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
 	t.advise(h, f.RetryAfter)
+	if f.Limit != "" {
+		t.proxyStatus(h, limitType, f.Limit)
+	}
 	if len(f.Allow) > 0 {
 		h["Allow"] = []string{strings.Join(f.Allow, ", ")}
 	}
@@ -216,6 +218,7 @@
 	status := statuses[a.Kind]
 	h := http.Header{"Content-Type": {"text/plain; charset=utf-8"}}
 	t.advise(h, a.RetryAfter)
+	t.proxyStatus(h, errorTypes[a.Why], string(a.Why))
 	return t.write(r, status, h, []byte(http.StatusText(status)+"\n"), false)
 }
 
--- a/internal/front/plain/server.go
+++ b/internal/front/plain/server.go
@@ -50,17 +50,18 @@
 	Class    string // as the engine's settings name it
 	Effect   tuliprock.Effect
 	Tenant   string
-	Wait     time.Duration                   // how long a caller waits who does not say so; 0: it must say so
-	MostWait time.Duration                   // how long it is served at most; 0: as long as it waits
-	AnyForm  bool                            // methods and bodies are as the desk has found them; else the class decides them
-	ID       string                          // for a request that brings none; empty: it must bring one
-	Over     func(taken bool, k engine.Kind) // is told once whether an engine took the request, and its answer; nil: nobody asks
+	Wait     time.Duration                    // how long a caller waits who does not say so; 0: it must say so
+	MostWait time.Duration                    // how long it is served at most; 0: as long as it waits
+	AnyForm  bool                             // methods and bodies are as the desk has found them; else the class decides them
+	ID       string                           // for a request that brings none; empty: it must bring one
+	Over     func(taken bool, a engine.Reply) // is told once whether an engine took the request, and its answer; nil: nobody asks
 }
 
 // Refusal is what a request is answered that nobody serves.
 type Refusal struct {
 	Status     int
 	Reason     string
+	Limit      string        // of the configuration, that it is over; empty: it is refused for something else
 	RetryAfter time.Duration // 0: no advice
 	Allow      []string      // methods that would do
 	Close      bool          // ends the connection
@@ -73,6 +74,7 @@
 // Server is the callers' side: it serves connections.
 type Server struct {
 	desk        Desk
+	name        string // in Proxy-Status
 	host        string // stands in where an HTTP/1.0 caller names no host
 	log         *slog.Logger
 	bodyTimeout time.Duration
@@ -81,9 +83,9 @@
 	wholeSeconds bool // in Retry-After
 }
 
-// New returns a server. Host stands in where a caller names none.
-func New(d Desk, host string, log *slog.Logger) *Server {
-	return &Server{desk: d, host: host, log: log, bodyTimeout: bodyTimeout}
+// New returns a server. Name is what it calls itself to callers, and host stands in where a caller names none.
+func New(d Desk, name, host string, log *slog.Logger) *Server {
+	return &Server{desk: d, name: name, host: host, log: log, bodyTimeout: bodyTimeout}
 }
 
 // RoundAdvice makes Retry-After a whole number of seconds, as RFC 9110 (10.2.3) has it. The platform's clients read
--- a/internal/front/plain/server_test.go
+++ b/internal/front/plain/server_test.go
@@ -41,7 +41,7 @@
 	log := slog.New(slog.DiscardHandler)
 	listener := make(piped)
 	conns := NewConns(listener, 100)
-	s := New(nobody{}, "", log)
+	s := New(nobody{}, "front", "", log)
 	ended := make(chan error)
 	go func() { ended <- s.Serve(conns) }()
 	t.Cleanup(func() {
--- a/internal/lab/rival/rival.go
+++ b/internal/lab/rival/rival.go
@@ -179,10 +179,13 @@
 
 func (p *Policy) end(q *request) {
 	delete(p.requests, q.ID)
-	if q.effect == tuliprock.Safe || !q.mayRun {
-		p.host.Refuse(q.ID, 0)
-	} else {
-		p.host.Fail(q.ID)
+	switch {
+	case q.effect != tuliprock.Safe && q.mayRun:
+		p.host.Fail(q.ID, tuliprock.MayHaveRun)
+	case len(p.ready) == 0:
+		p.host.Refuse(q.ID, tuliprock.NoEndpoint, 0)
+	default:
+		p.host.Refuse(q.ID, tuliprock.NoAttempt, 0)
 	}
 }
 
--- a/internal/lab/search/judge.go
+++ b/internal/lab/search/judge.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -153,11 +154,24 @@
 	}
 	fmt.Fprintf(w, "the design broke rules on %d sites\n", s.Broken[Design])
 	for i, f := range s.Worst[:min(worst, len(s.Worst))] {
-		fmt.Fprintf(w, "%2d. site %d: %.1f ±%.1f points behind %s, refused or failed %.1f%%: %s\n", i+1, f.N, 100*f.Judged.Mean,
-			100*f.Judged.Bound, f.Judged.Rival, 100*f.Failed[0], Describe(Draw(b, seed, f.N)))
+		fmt.Fprintf(w, "%2d. site %d: %.1f ±%.1f points behind %s, refused or failed %.1f%%%s: %s\n", i+1, f.N, 100*f.Judged.Mean,
+			100*f.Judged.Bound, f.Judged.Rival, 100*f.Failed[0], reasons(f.Why), Describe(Draw(b, seed, f.N)))
 	}
 }
 
+// reasons words why requests were not served, the most frequent reason first.
+func reasons(why map[string]int64) string {
+	names := slices.SortedFunc(maps.Keys(why), func(x, y string) int { return cmp.Or(cmp.Compare(why[y], why[x]), cmp.Compare(x, y)) })
+	var out []string
+	for _, name := range names {
+		out = append(out, fmt.Sprintf("%s %d", name, why[name]))
+	}
+	if len(out) == 0 {
+		return ""
+	}
+	return " (" + strings.Join(out, ", ") + ")"
+}
+
 // Describe words a site in a line.
 func Describe(e *lab.Experiment) string {
 	s := &e.Site
--- a/internal/lab/search/search.go
+++ b/internal/lab/search/search.go
@@ -25,6 +25,7 @@
 	N        int                  `json:"site"`
 	Worth    map[string][]float64 `json:"worth"`            // served in time, as a share, by policy and repeat
 	Failed   []float64            `json:"failed"`           // share of requests that the design refused or failed, by repeat
+	Why      map[string]int64     `json:"why,omitempty"`    // the design refused or failed requests, by reason, in the first repeat
 	Broken   map[string][]string  `json:"broken,omitempty"` // rules, by policy
 	Requests int64                `json:"requests"`         // in the first repeat
 }
@@ -179,7 +180,7 @@
 			if policy == Design {
 				s.Failed = append(s.Failed, got.Failed)
 				if repeat == 0 {
-					s.Requests = got.Requests
+					s.Requests, s.Why = got.Requests, got.Why
 				}
 			}
 			for _, rule := range got.Broken {
@@ -197,6 +198,7 @@
 	Worth, Failed float64
 	Requests      int64
 	Broken        []string
+	Why           map[string]int64
 }
 
 func play(ctx context.Context, e *lab.Experiment, policy string, seed uint64) (played, error) {
@@ -205,7 +207,10 @@
 		return played{}, err
 	}
 	t := got.Tally
-	out := played{Worth: 1, Failed: t.Total.Share(tally.Refused) + t.Total.Share(tally.Failed), Requests: t.Total.Offered()}
+	out := played{Worth: 1, Failed: t.Total.Share(tally.Refused) + t.Total.Share(tally.Failed), Requests: t.Total.Offered(), Why: map[string]int64{}}
+	for why, n := range t.Why {
+		out.Why[string(why)] = n
+	}
 	if t.Worth > 0 {
 		out.Worth = t.Earned / t.Worth
 	}
--- a/internal/lab/tally/tally.go
+++ b/internal/lab/tally/tally.go
@@ -6,6 +6,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"tuliprock"
 	"tuliprock/internal/lab"
 )
 
@@ -80,6 +81,8 @@
 	Sent     int64                     // requests of which there was an attempt, in virtual time
 	Worth    float64                   // of all that was asked
 	Earned   float64                   // of what was served in time
+
+	Why map[tuliprock.Reason]int64 // what instances of all tiers refused or failed, by reason, in virtual time
 }
 
 const (
@@ -90,7 +93,7 @@
 // New returns an empty tally for an experiment.
 func New(e *lab.Experiment) *Tally {
 	return &Tally{warmup: e.Warmup, Classes: make([]Counts, len(e.Site.Classes)), Tenants: make([]Counts, len(e.Site.Tenants)),
-		Latency: hdrhistogram.New(1, longest, figures)}
+		Latency: hdrhistogram.New(1, longest, figures), Why: map[tuliprock.Reason]int64{}}
 }
 
 // Ended counts one request that was to be sent at the instant at and ended after took.
--- a/internal/lab/virtual/instance.go
+++ b/internal/lab/virtual/instance.go
@@ -409,14 +409,16 @@
 }
 
 // Refuse implements tuliprock.Host.
-func (hs *hands) Refuse(id string, retryAfter time.Duration) {
+func (hs *hands) Refuse(id string, why tuliprock.Reason, retryAfter time.Duration) {
 	in := (*instance)(hs)
+	in.w.tally.Why[why]++
 	in.finish(in.w.now, in.calls[id], ledger.Refused, retryAfter)
 }
 
 // Fail implements tuliprock.Host.
-func (hs *hands) Fail(id string) {
+func (hs *hands) Fail(id string, why tuliprock.Reason) {
 	in := (*instance)(hs)
+	in.w.tally.Why[why]++
 	in.finish(in.w.now, in.calls[id], ledger.Failed, 0)
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -54,7 +54,7 @@
 	for _, class := range settings.Classes {
 		at.effects[class.Name] = class.Effect
 	}
-	s := plain.New(at, c.Listen, log)
+	s := plain.New(at, "tuliprock", c.Listen, log)
 	return &Sidecar{callers: s, conns: conns, engine: e, discovery: d}, nil
 }
 
--- a/internal/wire/reply.go
+++ b/internal/wire/reply.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"tuliprock"
 )
 
 // A Reply gathers the actions of one batch. Its Of method gives the tuliprock.Host of an instance.
@@ -78,7 +80,7 @@
 }
 
 // Refuse writes a SAY_NO.
-func (h *Host) Refuse(id string, retryAfter time.Duration) {
+func (h *Host) Refuse(id string, _ tuliprock.Reason, retryAfter time.Duration) {
 	h.begin("SAY_NO")
 	h.text("Rid", id)
 	if retryAfter > 0 {
@@ -88,7 +90,7 @@
 }
 
 // Fail writes a FINISH_ERROR.
-func (h *Host) Fail(id string) {
+func (h *Host) Fail(id string, _ tuliprock.Reason) {
 	h.begin("FINISH_ERROR")
 	h.text("Rid", id).end()
 }
--- a/learned.go
+++ b/learned.go
@@ -107,7 +107,7 @@
 		b.err(e, in.Errors-e.errors)
 		if b.place(e); !in.Active && e.active && e.in && active > 1 {
 			active--
-			b.drop(now, e)
+			b.drop(now, e, OutSlow)
 		}
 	}
 	if l.Room > 0 && sane(l.Room) && b.out == 0 {
--- /dev/null
+++ b/reason.go
@@ -0,0 +1,73 @@
+package tuliprock
+
+import "time"
+
+// Reason says why a request got a final answer that is not an endpoint's. No decision is made in this file.
+type Reason string
+
+// The reasons.
+const (
+	NoEndpoint Reason = "no_endpoint"  // none is known that takes new work
+	NoRoom     Reason = "no_room"      // all that may be used have as much to do as they can finish
+	QueueFull  Reason = "queue_full"   // as many wait for room as the class allows
+	OverQuota  Reason = "over_quota"   // its tenant is over its share while room is short
+	TooLate    Reason = "too_late"     // no answer would come before the deadline
+	NoBudget   Reason = "no_budget"    // an attempt failed, and the budget of resends is spent
+	NoAttempt  Reason = "no_attempt"   // as many attempts have failed as it may have
+	MayHaveRun Reason = "may_have_run" // an attempt failed, and another could be a second effect
+)
+
+// Reasons lists them all.
+var Reasons = []Reason{NoEndpoint, NoRoom, QueueFull, OverQuota, TooLate, NoBudget, NoAttempt, MayHaveRun}
+
+// Out says why an endpoint gets no ordinary turns.
+type Out string
+
+// Why an endpoint is out.
+const (
+	OutNew       Out = "new"       // it has to show itself at a trial first
+	OutSlow      Out = "slow"      // beyond the factor
+	OutSilent    Out = "silent"    // it answers nothing
+	OutUnreached Out = "unreached" // connections to it fail
+	OutFailing   Out = "failing"   // attempts at it fail
+	OutAside     Out = "aside"     // this balancer spreads its calls over others
+)
+
+// Standing is how an endpoint stands with a Balancer.
+type Standing struct {
+	ID       string
+	State    State
+	Out      Out           // why it gets no ordinary turns; empty where it does
+	Weight   float64       // what it takes, in multiples of what calls take when all is calm
+	Errors   float64       // share of recent outcomes that were errors
+	InFlight int           // attempts out
+	Warmth   float64       // least share of its capacity that it has
+	Answered time.Duration // since its latest answer; below 0: none has come
+	TrialIn  time.Duration // until it may be tried, while out; below 0: its trial is out
+}
+
+// Standings tells how all endpoints stand, in order of first mention.
+func (b *Balancer) Standings(now time.Duration) []Standing {
+	var out []Standing
+	for _, e := range b.endpoints {
+		if e.State == Gone {
+			continue
+		}
+		s := Standing{ID: e.ID, State: e.State, Weight: e.w(), Errors: e.errors, InFlight: e.inFlight, Warmth: b.warmth(now, e),
+			Answered: -1}
+		if e.answeredAt > 0 {
+			s.Answered = now - e.answeredAt
+		}
+		switch {
+		case !e.active:
+			s.Out, s.TrialIn = e.out, max(e.trialAt-now, 0)
+			if e.trial {
+				s.TrialIn = -1
+			}
+		case !e.in && e.State == Ready:
+			s.Out = OutAside
+		}
+		out = append(out, s)
+	}
+	return out
+}
--- a/rules_test.go
+++ b/rules_test.go
@@ -52,6 +52,7 @@
 	over     bool // nothing new comes
 	sends    int
 	answers  [3]int // served, refused, failed
+	whys     map[tuliprock.Reason]int
 	log      []string
 }
 
@@ -119,8 +120,9 @@
 	}
 }
 
-func (w *world) Refuse(id string, _ time.Duration) {
+func (w *world) Refuse(id string, why tuliprock.Reason, _ time.Duration) {
 	q := w.answer(id)
+	w.hold(q, why)
 	w.answers[1]++
 	for _, a := range q.attempts {
 		if (a.out || a.ran) && (q.class.Effect == tuliprock.Unsafe ||
@@ -130,11 +132,35 @@
 	}
 }
 
-func (w *world) Fail(id string) {
-	w.answer(id)
+func (w *world) Fail(id string, why tuliprock.Reason) {
+	w.hold(w.answer(id), why)
 	w.answers[2]++
 }
 
+// hold holds a reason to what the world has seen.
+func (w *world) hold(q *asked, why tuliprock.Reason) {
+	ready, failed, ran, out := false, false, false, false
+	for _, e := range w.list {
+		ready = ready || e.State == tuliprock.Ready
+	}
+	for _, a := range q.attempts {
+		failed, ran, out = failed || !a.out, ran || a.ran, out || a.out
+	}
+	holds := map[tuliprock.Reason]bool{
+		tuliprock.NoEndpoint: !ready,
+		tuliprock.NoRoom:     ready && len(q.attempts) == 0,
+		tuliprock.OverQuota:  q.Tenant != "t2" && len(q.attempts) == 0,
+		tuliprock.TooLate:    true, // how long an answer would take is the module's own estimate
+		tuliprock.NoBudget:   failed && !out,
+		tuliprock.NoAttempt:  len(q.attempts) >= w.s.MaxAttempts && !out,
+		tuliprock.MayHaveRun: ran && q.class.Effect != tuliprock.Safe,
+	}
+	if !holds[why] {
+		w.t.Fatalf("%v: %s is told %q after %d attempts, which is not so", w.now, q.ID, why, len(q.attempts))
+	}
+	w.whys[why]++
+}
+
 func (w *world) answer(id string) *asked {
 	w.log = append(w.log, fmt.Sprintf("%v answer %s", w.now, id))
 	q := w.requests[id]
@@ -288,7 +314,7 @@
 func newWorld(t testing.TB, seed uint64) *world {
 	rng := rand.New(rand.NewPCG(seed, 2))
 	w := &world{t: t, rng: rng, now: time.Duration(1+rng.IntN(1000)) * time.Second, list: map[string]tuliprock.Endpoint{},
-		stopped: map[string]time.Duration{}, cold: map[string][]time.Duration{}}
+		whys: map[tuliprock.Reason]int{}, stopped: map[string]time.Duration{}, cold: map[string][]time.Duration{}}
 	w.s = tuliprock.Settings{Balancers: 1 + rng.IntN(3), Tier: rng.IntN(2), TiersBelow: rng.IntN(3),
 		MustSubscribe: rng.IntN(2) == 0, AskWithin: 10 * time.Second, MaxAttempts: 1 + rng.IntN(5),
 		MayCancel: rng.IntN(4) > 0, MayProbe: rng.IntN(3) == 0,
@@ -332,17 +358,26 @@
 
 func TestRulesHoldOnRandomDays(t *testing.T) {
 	var answers [3]int
+	whys := map[tuliprock.Reason]int{}
 	for seed := range uint64(60) {
 		w := play(t, seed, 1500)
 		for i, n := range w.answers {
 			answers[i] += n
 		}
+		for why, n := range w.whys {
+			whys[why] += n
+		}
 	}
 	for i, n := range answers {
 		if n < 1000 {
 			t.Errorf("only %d answers of kind %d: the days test too little", n, i)
 		}
 	}
+	for _, why := range tuliprock.Reasons {
+		if why != tuliprock.QueueFull && why != tuliprock.NoEndpoint && whys[why] < 20 {
+			t.Errorf("only %d answers say %s: the days test too little", whys[why], why)
+		}
+	}
 }
 
 func TestSameEventsGiveSameActions(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -15,6 +15,7 @@
 	Endpoint
 	kind         *kind
 	active       bool
+	out          Out           // why it is not active
 	deficit      float64       // charged turns
 	sum, samples float64       // smoothed samples over the kind's weight, and how many they are worth
 	sampledAt    time.Duration // latest sample
