Let answers stretch as far as the wanted time allows: waits instead of refusals

Cause: the room shrank when recent answers took twice a calm answer, and requests waited for a twentieth of the aim, however far the aim was. Where 28 s are allowed and an answer takes 2.4 s, four in five requests were refused at 41% load.

Change: what is bearable follows from the aim over what is typical, a tier's part of it; room, its growth and the wait go by that. It is as before where the aim is under four answer times a tier.

--- a/balancer.go
+++ b/balancer.go
@@ -43,6 +43,7 @@
 	allShares   = 1.3                    // or while requests come at this multiple of all quotas together
 	holdShare   = 0.05                   // share of the mean aim that a request waits here at most
 	hopeless    = 0.6                    // share of the expected time that must be left, when room is short
+	slack       = 0.5                    // share of the wanted time that answers may take
 	freeMost    = 3                      // attempts beside the budget that one request may bring
 	copyLeast   = 20.0                   // answers of a class from which its tail is known
 	blame       = 1.5                    // error share, over that of the others, that makes errors its own
@@ -252,13 +253,14 @@
 func (b *Balancer) resize(now time.Duration, stretch float64) {
 	gain := 1 - math.Exp(-(now-b.resizedAt).Seconds()/roomMemory.Seconds())
 	b.resizedAt = now
-	b.stretch += (min(stretch, roomSample) - b.stretch) * max(gain, meanGain)
+	most := b.bearable()
+	b.stretch += (min(stretch, roomSample*most) - b.stretch) * max(gain, meanGain)
 	switch {
-	case b.stretch > crowded && float64(b.out+1) > overRoom*b.room && now >= b.cutAt:
-		b.room = max(min(b.room, float64(b.out+1))*max(roomCut, crowded/b.stretch), b.share())
+	case b.stretch > crowded*most && float64(b.out+1) > overRoom*b.room && now >= b.cutAt:
+		b.room = max(min(b.room, float64(b.out+1))*max(roomCut, crowded*most/b.stretch), b.share())
 		b.cutAt = now + seconds(b.stretch*b.typical()/2)
 	case float64(b.out+2) > b.room:
-		b.room += roomGrowth * max(roomy-b.stretch, 0)
+		b.room += roomGrowth * most * max(roomy*most-b.stretch, 0)
 	}
 }
 
@@ -284,6 +286,12 @@
 	return len(q.probing) > 0
 }
 
+// bearable is how far answers may stretch beyond what is ordinary: as far as leaves them well within the time
+// that is wanted, of which each tier has its part. Where that is long, a wait is better than a refusal.
+func (b *Balancer) bearable() float64 {
+	return max(slack*b.aim/b.typical()/float64(1+b.s.Tier+b.s.TiersBelow)/crowded, 1)
+}
+
 // Probed takes an endpoint's load and lets the requests go that waited for it.
 func (b *Balancer) Probed(now time.Duration, p ProbeResult) {
 	e := b.byName[p.Endpoint]
@@ -557,7 +565,7 @@
 	case b.ready == 0: // whoever comes first may still answer in time
 		return q.giveUp - seconds(b.expected(q))
 	}
-	return min(q.giveUp, q.arrived+seconds(holdShare*b.aim))
+	return min(q.giveUp, q.arrived+seconds(holdShare*b.bearable()*b.aim))
 }
 
 // Outcome takes the sample of an attempt's end and decides whether the request goes out again.
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -46,6 +46,15 @@
 			{Name: "bill", Effect: tuliprock.Unsafe, Aim: 2 * time.Second}}}
 }
 
+// wanted is basic with another aim: how far answers may stretch, and when an attempt is overdue, hang on it.
+func wanted(within time.Duration) tuliprock.Settings {
+	s := basic()
+	for i := range s.Classes {
+		s.Classes[i].Aim = within
+	}
+	return s
+}
+
 func newRig(t *testing.T, s tuliprock.Settings, endpoints ...string) *rig {
 	return newRigSeeded(t, s, 7, endpoints...)
 }
@@ -372,7 +381,7 @@
 // In h36c04c a burst tipped the servers while callers with a few calls a second smoothed twenty answers before any of
 // them asked for less.
 func TestQuietCallerSoonSeesTheCrowd(t *testing.T) {
-	s := basic()
+	s := wanted(700 * ms)
 	s.Balancers = 10
 	r := newRig(t, s, "a", "b", "c", "d")
 	due := map[string]time.Duration{}
@@ -600,7 +609,7 @@
 
 // The servers of i2b2df6 and of many overloaded days tipped into a slow state while the room still grew.
 func TestOverloadLeavesEndpointsUncrowded(t *testing.T) {
-	r := newRig(t, basic(), "a", "b")
+	r := newRig(t, wanted(80*ms), "a", "b")
 	most, answered := r.crowd(30*ms, 20*ms, 3*time.Second, "a", "b")
 	if r.count("refuse") > 0 {
 		t.Fatal("refused at a third of what the endpoints can do")
@@ -793,7 +802,7 @@
 
 // A balancer that hears nothing from an endpoint must not wait for a time-out, nor for its weight to grow.
 func TestSilentEndpointIsDroppedAtItsFirstOverdueAttempt(t *testing.T) {
-	r := newRig(t, basic(), "a", "b", "c", "d")
+	r := newRig(t, wanted(600*ms), "a", "b", "c", "d")
 	r.warm(200, map[string]time.Duration{"a": 50 * ms, "b": 50 * ms, "c": 50 * ms, "d": 50 * ms})
 	for ep := ""; ep != "d"; {
 		var id string
@@ -942,7 +951,7 @@
 
 // i2b2df6: the room still grew while answers took half as long again as when all was calm.
 func TestRoomStopsGrowingWhileAnswersStretch(t *testing.T) {
-	r := newRig(t, basic(), "a", "b")
+	r := newRig(t, wanted(200*ms), "a", "b")
 	r.warm(60, map[string]time.Duration{"a": 50 * ms, "b": 50 * ms})
 	due, most, seen := map[string]time.Duration{}, 0, len(r.did)
 	for begun := r.now; r.now < begun+4*time.Second; r.wait(ms) {
