Pace a cold endpoint from the first send on, also where it is the only one

Cause: with none active the trial due soonest is taken at once, so all instances that held requests through an outage sent them to the first box that was back, cold, in the same moment. Change: the first send waits for the random moment that the trial has, and held requests wake up for it.

--- a/balancer.go
+++ b/balancer.go
@@ -153,6 +153,10 @@
 // coldGap is the time between two sends to a cold endpoint, trials included, little more than a warm share of
 // the caller's own traffic. It guards against all callers together pushing it over.
 func (b *Balancer) coldGap(now time.Duration, e *endpoint) time.Duration {
+	if b.warmth(now, e) < 1 { // also where it is the only one: all callers have waited for it
+		e.coldAt = e.trialAt
+		b.pace(e)
+	}
 	return seconds(b.turnGap(now).Seconds() / (b.warmth(now, e) * cmp.Or(b.s.ColdShare, coldShare)))
 }
 
@@ -476,10 +480,7 @@
 	took, w := b.expected(q), e.w()
 	if b.warmth(now, e) < 1 {
 		e.coldAt = now + b.coldGap(now, e)
-		if !slices.Contains(b.cold, e) {
-			b.cold = append(b.cold, e)
-			slices.SortFunc(b.cold, func(x, y *endpoint) int { return cmp.Compare(x.mention, y.mention) })
-		}
+		b.pace(e)
 	}
 	if e.active {
 		turn := e.deficit
@@ -540,6 +541,14 @@
 	if q.outs() == 1 && float64(b.out) < overRoom*b.room && b.whyNot(now, q, false) == "" {
 		if e := b.pick(now, q, search{in: &b.turns}, search{in: &b.trials}); e != nil && !q.tried(e) {
 			q.copied = true
+// pace remembers an endpoint whose next send has to wait: requests may wait for it.
+func (b *Balancer) pace(e *endpoint) {
+	if !slices.Contains(b.cold, e) {
+		b.cold = append(b.cold, e)
+		slices.SortFunc(b.cold, func(x, y *endpoint) int { return cmp.Compare(x.mention, y.mention) })
+	}
+}
+
 			b.resends.spend()
 			b.send(now, q, e)
 		}
