Overdue goes by the spread of answers and the aim, not by three quick samples

Cause: three times the usual time made an attempt overdue and its endpoint silent. Of exponential answers 5% take that long, and a class of 1 ms hits and 42 ms misses lost healthy endpoints at its first miss.

Change: also six mean deviations beyond the expected time, a twentieth of the aim, and a quarter of it before ten answers.

--- a/balancer.go
+++ b/balancer.go
@@ -26,7 +26,11 @@
 	common      = 0.7                    // share of the smallest weight that is not the endpoints' own doing
 	passedOver  = 0.5                    // turns that a probed endpoint loses for each call it holds
 	lagMost     = 2.0                    // weights that an endpoint passed over for its crowd may fall behind
-	late        = 3.0                    // an attempt out for this multiple of its expected time is overdue
+	late        = 3.0                    // an attempt out for this multiple of its expected time is overdue,
+	lateSpread  = 6.0                    // but not before this multiple of the usual deviation from it
+	lateLeast   = 0.05                   // or this share of the aim,
+	lateFirst   = 0.25                   // and this, until
+	lateKnown   = 10.0                   // answers of the class have come
 	meanGain    = 0.05                   // gain of recent means per answer
 	meanFor     = 0.5                    // seconds that a class's mean goes back at least
 	calmFall    = 0.02                   // gain of the calm latency per answer while the mean is below it
@@ -176,6 +180,16 @@
 
 // learn updates what calls of the class take. Calm rises by time alone: an overload must not pass for calm.
 func (c *class) learn(now time.Duration, q *request, took float64) {
+// late is how long an attempt may be out, in seconds, before it counts as overdue. What a class takes may be
+// a mixture of quick and slow, and the first answers may all be quick: neither must make a server silent.
+func (c *class) late(w, took float64) float64 {
+	least := lateLeast
+	if c.samples < lateKnown {
+		least = lateFirst
+	}
+	return max(late*max(w, 1)*took, max(w, 1)*took+lateSpread*c.spread, least*c.Aim.Seconds())
+}
+
 	if c.samples++; c.samples == 1 {
 		c.since = now
 	}
@@ -191,7 +205,9 @@
 	} else {
 		c.tail = max(c.tail-step*(1-c.CopyShare), c.mean)
 	}
-	c.mean += (took - c.mean) * max(1/c.samples, min(meanGain, gap.Seconds()/meanFor))
+	gain := max(1/c.samples, min(meanGain, gap.Seconds()/meanFor))
+	c.spread += (math.Abs(took-c.mean) - c.spread) * gain
+	c.mean += (took - c.mean) * gain
 	switch {
 	case c.samples < 10 || (now-c.since).Seconds() < calmFirst:
 		c.calm = c.mean
@@ -505,7 +521,7 @@
 		}
 	}
 	a := attempt{e: e, sent: now, out: true, trial: !e.active}
-	a.overdueAt = now + max(seconds(late*max(w, 1)*took), 3*b.s.Resolution)
+	a.overdueAt = now + max(seconds(q.class.late(w, took)), 3*b.s.Resolution)
 	e.trial = a.trial
 	e.inFlight++
 	b.place(e)
--- a/state.go
+++ b/state.go
@@ -54,6 +54,7 @@
 	since      time.Duration // first answer
 	samples    float64
 	calm, mean float64 // seconds for a call: when all is calm, and lately
+	spread     float64 // mean deviation from the mean, lately
 	at         time.Duration
 }
 
