Quiet callers go by a minute's rate, so that their trials do not meet at one endpoint

Cause: a caller was never taken to ask less than once in five seconds.

Change: the time between turns goes by a rate over a minute where that is lower.

--- a/balancer.go
+++ b/balancer.go
@@ -43,11 +43,11 @@
 	roomGrowth  = 0.2                    // it grows by this with each answer while it is used up,
 	roomy       = 1.5                    // times what the stretch is short of this
 	roomSample  = 4.0                    // stretch that one answer can show here
+	slack       = 0.5                    // share of the wanted time that answers may take
 	overRoom    = 0.6                    // share of the room up to which over-share requests are let in
 	allShares   = 1.3                    // or while requests come at this multiple of all quotas together
 	holdShare   = 0.05                   // share of the mean aim that a request waits here at most
 	hopeless    = 0.6                    // share of the expected time that must be left, when room is short
-	slack       = 0.5                    // share of the wanted time that answers may take
 	freeMost    = 3                      // attempts beside the budget that one request may bring
 	copyLeast   = 20.0                   // answers of a class from which its tail is known
 	blame       = 1.5                    // error share, over that of the others, that makes errors its own
@@ -56,7 +56,8 @@
 	tableGap    = time.Second            // a table is so large that each endpoint in it is called this often,
 	tableShare  = 12.0                   // that each endpoint is in the tables of this many callers,
 	tableLeast  = 4.0                    // and no smaller than this
-	rateLeast   = 0.2                    // sends a second: a caller is never taken to be quieter
+	rateLeast   = 0.2                    // requests a second from which a caller's rate is followed closely,
+	rateMemory  = time.Minute            // and over which that of a quieter one is
 	quotaBurst  = 1.0                    // seconds of a tenant's quota that may come at once
 	retryAdvice = 300 * time.Millisecond // how long a refused client is asked to stay away
 	probeWidth  = 3                      // endpoints probed for a request, where probing is allowed
@@ -90,6 +91,7 @@
 
 // count follows the rate of requests and, with it, how many endpoints the table is to have.
 func (b *Balancer) count(now time.Duration) {
+	b.slow = b.slow*math.Exp(-(now-b.callsAt).Seconds()/rateMemory.Seconds()) + 1
 	b.calls, b.callsAt = b.calls*math.Exp(-(now-b.callsAt).Seconds()/memory.Seconds())+1, now
 	want := b.rate(now) * tableGap.Seconds()
 	if want > 1.5*b.size || want < 0.5*b.size { // else it would change with each call
@@ -151,16 +153,16 @@
 	e.backoff = b.firstBackoff(now)
 	e.trialAt = now + seconds(b.rng.Float64()*max(b.turnGap(now), b.coldGap(now, e)).Seconds())
 	e.sum, e.samples, e.deficit = 0, 0, b.zero(e)+b.rng.Float64()
+	if b.warmth(now, e) < 1 { // also where it is the only one: all callers have waited for it
+		e.coldAt = e.trialAt
+		b.pace(e)
+	}
 	b.place(e)
 }
 
 // coldGap is the time between two sends to a cold endpoint, trials included, little more than a warm share of
 // the caller's own traffic. It guards against all callers together pushing it over.
 func (b *Balancer) coldGap(now time.Duration, e *endpoint) time.Duration {
-	if b.warmth(now, e) < 1 { // also where it is the only one: all callers have waited for it
-		e.coldAt = e.trialAt
-		b.pace(e)
-	}
 	return seconds(b.turnGap(now).Seconds() / (b.warmth(now, e) * cmp.Or(b.s.ColdShare, coldShare)))
 }
 
@@ -178,8 +180,6 @@
 	return c.calm
 }
 
-// learn updates what calls of the class take. Calm rises by time alone: an overload must not pass for calm.
-func (c *class) learn(now time.Duration, q *request, took float64) {
 // late is how long an attempt may be out, in seconds, before it counts as overdue. What a class takes may be
 // a mixture of quick and slow, and the first answers may all be quick: neither must make a server silent.
 func (c *class) late(w, took float64) float64 {
@@ -190,6 +190,8 @@
 	return max(late*max(w, 1)*took, max(w, 1)*took+lateSpread*c.spread, least*c.Aim.Seconds())
 }
 
+// learn updates what calls of the class take. Calm rises by time alone: an overload must not pass for calm.
+func (c *class) learn(now time.Duration, q *request, took float64) {
 	if c.samples++; c.samples == 1 {
 		c.since = now
 	}
@@ -284,6 +286,12 @@
 	}
 }
 
+// bearable is how far answers may stretch beyond what is ordinary: as far as leaves them well within the time
+// that is wanted, of which each tier has its part. Where that is long, a wait is better than a refusal.
+func (b *Balancer) bearable() float64 {
+	return max(slack*b.aim/b.typical()/float64(1+b.s.Tier+b.s.TiersBelow)/crowded, 1)
+}
+
 // probe asks the endpoints that are next in turn for their load, and holds the request for the answers.
 func (b *Balancer) probe(now time.Duration, q *request) bool {
 	var next [probeWidth + 1]*endpoint // in order of deficit; the last place is for what falls out
@@ -306,12 +314,6 @@
 	return len(q.probing) > 0
 }
 
-// bearable is how far answers may stretch beyond what is ordinary: as far as leaves them well within the time
-// that is wanted, of which each tier has its part. Where that is long, a wait is better than a refusal.
-func (b *Balancer) bearable() float64 {
-	return max(slack*b.aim/b.typical()/float64(1+b.s.Tier+b.s.TiersBelow)/crowded, 1)
-}
-
 // Probed takes an endpoint's load and lets the requests go that waited for it.
 func (b *Balancer) Probed(now time.Duration, p ProbeResult) {
 	e := b.byName[p.Endpoint]
@@ -539,6 +541,14 @@
 	b.host.Send(q.ID, e.ID, max(timeout, time.Microsecond))
 }
 
+// pace remembers an endpoint whose next send has to wait: requests may wait for it.
+func (b *Balancer) pace(e *endpoint) {
+	if !slices.Contains(b.cold, e) {
+		b.cold = append(b.cold, e)
+		slices.SortFunc(b.cold, func(x, y *endpoint) int { return cmp.Compare(x.mention, y.mention) })
+	}
+}
+
 // copyGap is how long the first attempt may stay unanswered before a second copy goes out; 0: none does.
 func (c *class) copyGap() time.Duration {
 	switch {
@@ -557,14 +567,6 @@
 	if q.outs() == 1 && float64(b.out) < overRoom*b.room && b.whyNot(now, q, false) == "" {
 		if e := b.pick(now, q, search{in: &b.turns}, search{in: &b.trials}); e != nil && !q.tried(e) {
 			q.copied = true
-// pace remembers an endpoint whose next send has to wait: requests may wait for it.
-func (b *Balancer) pace(e *endpoint) {
-	if !slices.Contains(b.cold, e) {
-		b.cold = append(b.cold, e)
-		slices.SortFunc(b.cold, func(x, y *endpoint) int { return cmp.Compare(x.mention, y.mention) })
-	}
-}
-
 			b.resends.spend()
 			b.send(now, q, e)
 		}
--- a/cmd/rowancart/search.go
+++ b/cmd/rowancart/search.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strconv"
 
 	"github.com/spf13/cobra"
 
@@ -84,6 +85,22 @@
 	}
 	tell.Flags().IntVar(&worst, "worst", worst, "sites that are described")
 	tell.Flags().StringVar(&picture, "plot", "", "draw the distributions of regret into this file, as SVG")
-	cmd.AddCommand(run, tell)
+	show := &cobra.Command{
+		Use:   "show BOUNDS SITE",
+		Short: "Play one site and tell what each policy served, and what the design's instances logged",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			b, err := search.Load(args[0])
+			if err != nil {
+				return err
+			}
+			n, err := strconv.Atoi(args[1])
+			if err != nil {
+				return fmt.Errorf("%q is no number of a site", args[1])
+			}
+			return search.Show(cmd.Context(), cmd.OutOrStdout(), b, seed, n)
+		},
+	}
+	cmd.AddCommand(run, tell, show)
 	return cmd
 }
--- a/internal/lab/search/search.go
+++ b/internal/lab/search/search.go
@@ -193,12 +193,40 @@
 	return s, nil
 }
 
+// Show plays a site once with each policy and writes what came of it, with what the design's instances logged.
+func Show(ctx context.Context, w io.Writer, b *Bounds, seed uint64, n int) error {
+	e := Draw(b, seed, n)
+	fmt.Fprintln(w, Describe(e))
+	for _, t := range e.Site.Tiers {
+		fmt.Fprintf(w, "%s: %d boxes, %g of the work, %d calls below, cold from %g for %v, choked at %g, kinds", t.Name, t.Boxes, t.Work, t.Calls,
+			t.Box.ColdFrom, t.Box.ColdFor, t.Box.ChokeAt)
+		for _, k := range t.Kinds {
+			fmt.Fprintf(w, " %g of %d cores at %g, %d slots, queue %d;", k.Share, k.Cores, k.Speed, k.Slots, k.Queue)
+		}
+		fmt.Fprintln(w)
+	}
+	for _, policy := range append([]string{Design}, b.Rivals...) {
+		got, err := play(ctx, e, policy, 1)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(w, "%-18s %6.2f%% of the worth, refused or failed %.2f%%%s %v\n", policy, 100*got.Worth, 100*got.Failed, reasons(got.Why), got.Broken)
+		if policy == Design {
+			for _, l := range got.logs {
+				fmt.Fprintln(w, "   ", l)
+			}
+		}
+	}
+	return nil
+}
+
 // played is one play of one policy.
 type played struct {
 	Worth, Failed float64
 	Requests      int64
 	Broken        []string
 	Why           map[string]int64
+	logs          []string
 }
 
 func play(ctx context.Context, e *lab.Experiment, policy string, seed uint64) (played, error) {
@@ -207,7 +235,7 @@
 		return played{}, err
 	}
 	t := got.Tally
-	out := played{Worth: 1, Failed: t.Total.Share(tally.Refused) + t.Total.Share(tally.Failed), Requests: t.Total.Offered(), Why: map[string]int64{}}
+	out := played{Worth: 1, Failed: t.Total.Share(tally.Refused) + t.Total.Share(tally.Failed), Requests: t.Total.Offered(), Why: map[string]int64{}, logs: got.Logs}
 	for why, n := range t.Why {
 		out.Why[string(why)] = n
 	}
--- a/outage_test.go
+++ b/outage_test.go
@@ -101,3 +101,62 @@
 		}
 	}
 }
+
+// A class of quick and slow answers is no fault of the endpoint that gives a slow one, nor are three quick answers a promise.
+func TestASlowAnswerAmongQuickOnesIsNoSilence(t *testing.T) {
+	for seed := range uint64(20) {
+		r := newRigSeeded(t, basic(), seed, "a", "b")
+		for n := range 200 {
+			id, ep := r.call("read")
+			if n%10 < 9 {
+				r.wait(ms)
+			} else {
+				r.wait(42 * ms)
+			}
+			for _, s := range r.b.Standings(r.now) {
+				if s.Out == tuliprock.OutSilent {
+					t.Fatalf("seed %d, call %d: %s passes for silent after %v at %s", seed, n, s.ID, 42*ms, ep)
+				}
+			}
+			r.end(id, tuliprock.OK)
+			r.wait(20 * ms)
+		}
+	}
+}
+
+// Where an answer is wanted within a long time, a wait is better than a refusal.
+func TestARequestWithTimeIsNotRefusedForAShortCrowd(t *testing.T) {
+	r := newRig(t, wanted(20*time.Second), "a", "b")
+	r.crowd(30*ms, 20*ms, 3*time.Second, "a", "b")
+	r.crowd(6*ms, 20*ms, 4*time.Second, "a", "b") // two thirds more than the two can do
+	if n := r.count("refuse"); n > 0 {
+		t.Errorf("%d were refused; the last of them would have waited for three seconds of 20", n)
+	}
+}
+
+// Many quiet callers that hear of one new endpoint must not all make their next call there.
+func TestQuietCallersDoNotMeetAtANewEndpoint(t *testing.T) {
+	met := 0
+	for caller := range 100 {
+		s := basic()
+		s.Balancers, s.Index = 100, caller
+		r := newRigSeeded(t, s, uint64(caller), "a", "b", "c")
+		quiet := func(n int) {
+			for range n {
+				r.wait(time.Duration(25+(caller+n)%10) * time.Second)
+				id, ep := r.call("read")
+				if ep == "new" {
+					met++
+				}
+				r.wait(200 * ms)
+				r.end(id, tuliprock.OK)
+			}
+		}
+		quiet(4)
+		r.b.EndpointList(r.now, tuliprock.List{Entries: []tuliprock.Endpoint{{ID: "new"}}})
+		quiet(1)
+	}
+	if met > 45 {
+		t.Errorf("%d of 100 callers made their next call to the endpoint that had just come; a quarter is its part", met)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -141,6 +141,7 @@
 	held      float64 // mean load that probes report
 	started   time.Duration
 	calls     float64 // requests, faded, as of callsAt
+	slow      float64 // the same, faded more slowly
 	callsAt   time.Duration
 	quota     float64 // of all tenants, for this caller alone
 	size      float64 // wanted size of the table
@@ -329,9 +330,13 @@
 	return max(b.s.ColdFrom+(1-b.s.ColdFrom)*age, 0.05)
 }
 
-// turnGap is the time between two calls of this balancer to one endpoint when all get the same.
+// turnGap is the time between two calls of this balancer to one endpoint when all get the same. A quiet
+// caller has to go by a long time: just after a call it would take itself to be busier than it is, and many
+// of them would meet at an endpoint that is new to all.
 func (b *Balancer) turnGap(now time.Duration) time.Duration {
-	return seconds(float64(b.members) / max(b.rate(now), rateLeast))
+	long := max(b.slow*math.Exp(-(now-b.callsAt).Seconds()/rateMemory.Seconds()), 0.5) /
+		((1 - math.Exp(-(now-b.started+time.Second).Seconds()/rateMemory.Seconds())) * rateMemory.Seconds())
+	return seconds(float64(b.members) / max(min(b.rate(now), long), min(long, rateLeast)))
 }
 
 // rate is how many requests a second come, of late. There was none before the start: that must not count.
