--- a/experiments/fleet-restart.hcl
+++ b/experiments/fleet-restart.hcl
@@ -52,7 +52,7 @@
 load {
   rate = var.rate
   clients {
-    retries = 2
+    retries    = 2
     retry_wait = "100ms"
   }
 }
--- a/experiments/fleet-storm.hcl
+++ b/experiments/fleet-storm.hcl
@@ -57,7 +57,7 @@
 load {
   rate = var.rate
   clients {
-    retries = 2
+    retries    = 2
     retry_wait = "100ms"
   }
 }
@@ -85,7 +85,7 @@
   policy = "two_choices"
 }
 expect {
-  arm            = "budget"
-  rules_kept     = true
-  resends_under  = 0.12
+  arm           = "budget"
+  rules_kept    = true
+  resends_under = 0.12
 }
--- a/experiments/fleet-told.hcl
+++ b/experiments/fleet-told.hcl
@@ -15,51 +15,7 @@
 sweep "told" {
   values = [1, 10, 40, 400]
 }
-site {
-  balancers = var.instances
-  told      = var.told
-  roster {
-    delay  = "200ms"
-    spread = "0s"
-  }
-  rules {
-    fall_window = "2s"
-  }
-  class "form-lookup" {
-    effect   = "safe"
-    share    = 0.7
-    work     = "50ms"
-    spread   = "exponential"
-    aim      = "500ms"
-    deadline = "2s"
-  }
-  class "return-submit" {
-    effect   = "unsafe"
-    share    = 0.3
-    work     = "50ms"
-    spread   = "lognormal"
-    cv       = 0.5
-    aim      = "500ms"
-    deadline = "2s"
-    worth    = 10
-  }
-  tier "form-check" {
-    boxes = 12
-    kind "std" {
-      cores = 4
-      slots = 40
-      queue = 300
-    }
-    cold {
-      from = 0.31
-      for  = "8s"
-    }
-    connections {
-      work = "1ms"
-      idle = "30s"
-    }
-  }
-}
+include "sites/fleet.hcl" {}
 load {
   rate = var.rate
 }
--- a/internal/lab/expfile/expfile.go
+++ b/internal/lab/expfile/expfile.go
@@ -36,15 +36,24 @@
 	if err != nil {
 		return nil, err
 	}
-	return Parse(text, filepath.Base(path), set)
+	return parse(text, filepath.Base(path), filepath.Clean(path), set)
 }
 
-// Parse reads the text of a file that is called name in messages.
+// Parse reads the text of a file that is called name in messages. What it includes is relative to the working folder.
 func Parse(text []byte, name string, set map[string]string) ([]Play, error) {
-	body, err := hclbody.Parse(text, name)
+	return parse(text, name, name, set)
+}
+
+func parse(text []byte, name, path string, set map[string]string) ([]Play, error) {
+	own, err := hclbody.Parse(text, name)
+	if err != nil {
+		return nil, err
+	}
+	bodies, err := included(own, []string{path})
 	if err != nil {
 		return nil, err
 	}
+	body := hcl.MergeBodies(bodies)
 	// The variables come first: everything else may name them.
 	r := &reader{}
 	vars := map[string]cty.Value{}
@@ -148,7 +157,7 @@
 	}
 	var expects []expectation
 	read := r.Body(body, nil, hclbody.Blocks{
-		"vars": ignore, "sweep variable": ignore,
+		"vars": ignore, "sweep variable": ignore, "include path": ignore,
 		"experiment name": once(func(b *hcl.Block) {
 			e.Name = b.Labels[0]
 			var seeds []uint64
