overload without tenants: what its quotas refused was taken for a weakness of the design

Cause: past 290 requests a second the experiment's tenants were over their quotas, and the design refused 7,049 requests as over quota. Rivals know no quotas. The lab's text and JSON now tell reasons ("not served: over_quota 7049, no_room 416"), which is how it showed.

Change: overload has no tenants and a point at 480/s; reports have reasons.

--- a/experiments/overload.hcl
+++ b/experiments/overload.hcl
@@ -1,5 +1,5 @@
 # Past its capacity, what does a service still serve in time, by policy? The load is swept through the edge; boxes that
-# are crowded for too long turn slow.
+# are crowded for too long turn slow. There are no tenants: what a quota refuses is no failing of a policy, and rivals know none.
 experiment "overload" {
   question = "Through and past its capacity, what does a service still serve in time?"
   duration = "30s"
@@ -11,7 +11,7 @@
   rate = "200/s"
 }
 sweep "rate" {
-  values = ["160/s", "220/s", "280/s", "360/s"]
+  values = ["160/s", "220/s", "280/s", "360/s", "480/s"]
 }
 site {
   balancers = 2
@@ -55,14 +55,6 @@
     deadline = "2s"
     worth    = 10
   }
-  tenant "erie-county" {
-    share = 0.7
-    quota = "200/s"
-  }
-  tenant "huron-county" {
-    share = 0.3
-    quota = "90/s"
-  }
   tier "form-gateway" {
     boxes = 8
     work  = 0.26
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -2,16 +2,20 @@
 package report
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"tuliprock"
 	"tuliprock/internal/lab"
 	"tuliprock/internal/lab/ledger"
 	"tuliprock/internal/lab/tally"
@@ -139,6 +143,7 @@
 	Seconds      []Second `json:"seconds"`
 	Boxes        []Box    `json:"boxes"`
 	Fresh        *Fresh   `json:"fresh,omitempty"`
+	Why          Reasons  `json:"why,omitempty"` // instances of all tiers refused or failed, in virtual time
 	Cost         *Cost    `json:"cost,omitempty"`
 	LatenessMs   float64  `json:"lateness_ms,omitempty"` // of the rig's own sending, p99 of the worst repeat
 	Log          []string `json:"log,omitempty"`
@@ -147,6 +152,19 @@
 	full []float64 // of fresh boxes, in seconds
 }
 
+// Reasons counts requests by the reason for which they were not served.
+type Reasons map[tuliprock.Reason]int64
+
+// String words the reasons, the most frequent one first.
+func (r Reasons) String() string {
+	names := slices.SortedFunc(maps.Keys(r), func(x, y tuliprock.Reason) int { return cmp.Or(cmp.Compare(r[y], r[x]), cmp.Compare(x, y)) })
+	var out []string
+	for _, name := range names {
+		out = append(out, fmt.Sprintf("%s %d", name, r[name]))
+	}
+	return strings.Join(out, ", ")
+}
+
 // Fresh is what became of boxes that came cold, over all repeats.
 type Fresh struct {
 	Boxes int     `json:"boxes"`
@@ -248,6 +266,12 @@
 	if p.Void != "" {
 		return
 	}
+	for why, n := range p.Tally.Why {
+		if a.Why == nil {
+			a.Why = Reasons{}
+		}
+		a.Why[why] += n
+	}
 	for i, v := range p.Verdicts {
 		if i == len(a.Rules) {
 			a.Rules = append(a.Rules, Rule{Rule: string(v.Rule)})
@@ -466,6 +490,9 @@
 			a.LatencyMs.P50, a.LatencyMs.P90, a.LatencyMs.P99, a.LatencyMs.P999, a.Attempts)
 	}
 	for i := range arms {
+		if why := arms[i].Why; len(why) > 0 {
+			fmt.Fprintf(w, "  %s, not served: %v\n", arms[i].Name, why)
+		}
 		if f := arms[i].Fresh; f != nil {
 			fmt.Fprintf(w, "  %s: %d fresh boxes, sent %.2f of their capacity at most, %d of them too much", arms[i].Name, f.Boxes, f.Peak, f.Over)
 			if f.FullS > 0 { // else it was not followed, or never seen
--- a/internal/lab/search/judge.go
+++ b/internal/lab/search/judge.go
@@ -7,7 +7,6 @@
 	"maps"
 	"math"
 	"slices"
-	"strings"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -159,17 +158,12 @@
 	}
 }
 
-// reasons words why requests were not served, the most frequent reason first.
-func reasons(why map[string]int64) string {
-	names := slices.SortedFunc(maps.Keys(why), func(x, y string) int { return cmp.Or(cmp.Compare(why[y], why[x]), cmp.Compare(x, y)) })
-	var out []string
-	for _, name := range names {
-		out = append(out, fmt.Sprintf("%s %d", name, why[name]))
-	}
-	if len(out) == 0 {
+// reasons words why requests were not served.
+func reasons(why report.Reasons) string {
+	if len(why) == 0 {
 		return ""
 	}
-	return " (" + strings.Join(out, ", ") + ")"
+	return " (" + why.String() + ")"
 }
 
 // Describe words a site in a line.
--- a/internal/lab/search/search.go
+++ b/internal/lab/search/search.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"tuliprock/internal/lab"
+	"tuliprock/internal/lab/report"
 	"tuliprock/internal/lab/tally"
 	"tuliprock/internal/lab/virtual"
 )
@@ -25,7 +26,7 @@
 	N        int                  `json:"site"`
 	Worth    map[string][]float64 `json:"worth"`            // served in time, as a share, by policy and repeat
 	Failed   []float64            `json:"failed"`           // share of requests that the design refused or failed, by repeat
-	Why      map[string]int64     `json:"why,omitempty"`    // the design refused or failed requests, by reason, in the first repeat
+	Why      report.Reasons       `json:"why,omitempty"`    // the design refused or failed requests, by reason, in the first repeat
 	Broken   map[string][]string  `json:"broken,omitempty"` // rules, by policy
 	Requests int64                `json:"requests"`         // in the first repeat
 }
@@ -225,7 +226,7 @@
 	Worth, Failed float64
 	Requests      int64
 	Broken        []string
-	Why           map[string]int64
+	Why           report.Reasons
 	logs          []string
 }
 
@@ -235,10 +236,7 @@
 		return played{}, err
 	}
 	t := got.Tally
-	out := played{Worth: 1, Failed: t.Total.Share(tally.Refused) + t.Total.Share(tally.Failed), Requests: t.Total.Offered(), Why: map[string]int64{}, logs: got.Logs}
-	for why, n := range t.Why {
-		out.Why[string(why)] = n
-	}
+	out := played{Worth: 1, Failed: t.Total.Share(tally.Refused) + t.Total.Share(tally.Failed), Requests: t.Total.Offered(), Why: t.Why, logs: got.Logs}
 	if t.Worth > 0 {
 		out.Worth = t.Earned / t.Worth
 	}
