A reset drops its endpoint; unsafe requests wait longer before they try what failed

Cause, found with the daemon on sockets: of two boxes one resets what it has taken, and two of 20 unsafe requests were lost: the first reset hardly moved a weight of many samples, and half a second later an unsafe request made the trial.

Change: a reset drops its endpoint at once, as a refused connection does. The trial of an endpoint that failed with what it had taken is left to requests that may be sent again for two more backoffs. The status says unreached or failing where it said slow.

--- a/balancer.go
+++ b/balancer.go
@@ -18,6 +18,7 @@
 	prior       = 3.0                    // samples that its kind's weight is worth beside an endpoint's own
 	kindGain    = 0.03                   // gain of a kind's weight per answer
 	factor      = 2.0                    // active while w is within this multiple of the smallest active w
+	riskyWait   = 2                      // backoffs that unsafe requests keep longer from what failed
 	borne       = 2.0                    // times that, while much of the room is used
 	backoffMin  = 500 * time.Millisecond // until the first trial of a dropped endpoint, at least
 	backoffMost = 8                      // longest backoff, in first backoffs
@@ -375,7 +376,7 @@
 		if e.trial || now < e.trialAt || trial != nil && !soonerTrial(e, trial) {
 			return false
 		}
-		if !q.tried(e) && b.allowed(now, q, e) {
+		if !q.tried(e) && b.allowed(now, q, e) && !(q.precious() && e.risky(now)) {
 			trial = e
 		}
 		return true
@@ -425,6 +426,15 @@
 	return soonest
 }
 
+// precious tells whether a request that fails at a trial is lost, since it may not be sent again.
+func (q *request) precious() bool { return q.class.Effect != Safe || q.class.NoRerun }
+
+// risky tells whether a trial is likely to cost what may not be sent again: the endpoint failed with what it
+// had taken. Other requests are to try it first, if there are any.
+func (e *endpoint) risky(now time.Duration) bool {
+	return (e.out == OutFailing || e.out == OutSilent) && now < e.trialAt+riskyWait*e.backoff
+}
+
 // pickAny chooses among all endpoints: a repeat may be bound to some outside the table.
 func (b *Balancer) pickAny(now time.Duration, q *request) *endpoint {
 	if b.whole {
@@ -720,17 +730,26 @@
 	}
 	if a.trial && !e.active {
 		b.tryOver(now, e, stretch, failed)
+		b.blames(e, r, failed)
 		return
 	}
 	b.sample(now, e, stretch)
 	// Nobody is there, or it is the last one active: what fails must not pass for the best.
-	if out := OutFailing; failed && e.active {
-		if r == ConnectFailed {
-			out = OutUnreached
-		}
-		if r == ConnectFailed || len(b.turns.list) == 1 && len(b.trials.list) > 0 {
-			b.drop(now, e, out)
-		}
+	last := len(b.turns.list) == 1 && len(b.trials.list) > 0
+	if failed && e.active && (r == ConnectFailed || r == Reset || last) {
+		b.drop(now, e, OutFailing)
+	}
+	b.blames(e, r, failed)
+}
+
+// blames notes why an endpoint that has just failed is out.
+func (b *Balancer) blames(e *endpoint, r Result, failed bool) {
+	switch {
+	case e.active || !failed:
+	case r == ConnectFailed:
+		e.out = OutUnreached
+	case r != Full:
+		e.out = OutFailing
 	}
 }
 
