A lone cold endpoint that answers in good time gets more than its warmth's part

Change: with only cold endpoints active, each answer that does not stretch lets the next call go a quarter sooner, up to ten times; one that does stretch takes that back.

--- a/balancer.go
+++ b/balancer.go
@@ -53,7 +53,9 @@
 	copyLeast   = 20.0                   // answers of a class from which its tail is known
 	blame       = 1.5                    // error share, over that of the others, that makes errors its own
 	blameLeast  = 0.1                    // and this much more: three errors in fifteen answers
-	coldShare   = 1.5                    // calls to a cold endpoint, in shares of its warmth
+	coldShare   = 1.5                    // calls to a cold endpoint, in shares of its warmth,
+	brisker     = 1.25                   // times more with each good answer, where there is no warm one,
+	briskMost   = 10.0                   // up to this
 	tableGap    = time.Second            // a table is so large that each endpoint in it is called this often,
 	tableShare  = 12.0                   // that each endpoint is in the tables of this many callers,
 	tableLeast  = 4.0                    // and no smaller than this
@@ -153,7 +155,7 @@
 	e.active, e.out = first && b.warmth(now, e) == 1, OutNew
 	e.backoff = b.firstBackoff(now)
 	e.trialAt = now + seconds(b.rng.Float64()*max(b.turnGap(now), b.coldGap(now, e)).Seconds())
-	e.sum, e.samples, e.deficit = 0, 0, b.zero(e)+b.rng.Float64()
+	e.sum, e.samples, e.deficit, e.brisk = 0, 0, b.zero(e)+b.rng.Float64(), 1
 	if b.warmth(now, e) < 1 { // also where it is the only one: all callers have waited for it
 		e.coldAt = e.trialAt
 		b.pace(e)
@@ -164,7 +166,27 @@
 // coldGap is the time between two sends to a cold endpoint, trials included, little more than a warm share of
 // the caller's own traffic. It guards against all callers together pushing it over.
 func (b *Balancer) coldGap(now time.Duration, e *endpoint) time.Duration {
-	return seconds(b.turnGap(now).Seconds() / (b.warmth(now, e) * cmp.Or(b.s.ColdShare, coldShare)))
+	share := b.warmth(now, e) * cmp.Or(b.s.ColdShare, coldShare)
+	return seconds(b.turnGap(now).Seconds() / (share * max(e.brisk, 1)))
+}
+
+// quicken gives a cold endpoint more of the traffic while there are only cold ones and it answers as one that
+// is not busy: its warmth's part leaves it idle at little load, and the less is served the less is asked.
+func (b *Balancer) quicken(now time.Duration, e *endpoint, stretch float64) {
+	cold := 0
+	for _, o := range b.cold {
+		if o.active && b.warmth(now, o) < 1 {
+			cold++
+		}
+	}
+	switch warmth := b.warmth(now, e); {
+	case warmth == 1:
+	case stretch*warmth > crowded:
+		e.brisk = 1
+	case len(b.turns.list) <= cold:
+		e.brisk = min(max(e.brisk, 1)*brisker, briskMost)
+		e.coldAt = min(e.coldAt, now+b.coldGap(now, e))
+	}
 }
 
 // firstBackoff guards against quiet callers that crowd a dropped endpoint with nothing but trials.
@@ -706,6 +728,7 @@
 		e.answeredAt = now
 		q.class.learn(now, q, took.Seconds())
 		b.resize(now, stretch)
+		b.quicken(now, e, stretch)
 		e.kind.learn(stretch)
 	case Errored:
 		b.err(e, meanGain)
--- a/outage_test.go
+++ b/outage_test.go
@@ -1,7 +1,9 @@
 package tuliprock_test
 
 import (
+	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -160,3 +162,45 @@
 		t.Errorf("%d of 100 callers made their next call to the endpoint that had just come; a quarter is its part", met)
 	}
 }
+
+// A cold endpoint that is alone and answers as one that is not busy gets what there is, and one that slows down does not.
+func TestALoneColdEndpointIsNotLeftIdle(t *testing.T) {
+	for _, c := range []struct {
+		took        time.Duration
+		least, most int // sent in the third second
+	}{{ms, 45, 50}, {400 * ms, 0, 40}} {
+		r := newRig(t, wanted(200*ms), "a")
+		r.warm(50, map[string]time.Duration{"a": ms})
+		for range 200 {
+			id, _ := r.call("read")
+			r.wait(ms)
+			r.end(id, tuliprock.OK)
+			r.wait(19 * ms)
+		}
+		r.b.EndpointList(r.now, tuliprock.List{Entries: []tuliprock.Endpoint{{ID: "a", Started: r.now}}})
+		due, sent, seen := map[string]time.Duration{}, 0, len(r.did)
+		for begun := r.now; r.now < begun+3*time.Second; {
+			if r.now%(20*ms) == 0 {
+				r.call("read")
+			}
+			r.wait(ms)
+			for _, id := range slices.Sorted(maps.Keys(due)) {
+				if r.now >= due[id] {
+					delete(due, id)
+					r.end(id, tuliprock.OK)
+				}
+			}
+			for ; seen < len(r.did); seen++ {
+				if f := strings.Fields(r.did[seen]); f[0] == "send" {
+					due[f[1]] = r.now + c.took
+					if r.now >= begun+2*time.Second {
+						sent++
+					}
+				}
+			}
+		}
+		if sent < c.least || sent > c.most {
+			t.Errorf("of 50 requests a second that take %v, %d were sent; %d to %d are right", c.took, sent, c.least, c.most)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -27,6 +27,7 @@
 	inFlight     int           // attempts out
 	errors       float64       // share of recent outcomes that are errors
 	coldAt       time.Duration // next send, while cold
+	brisk        float64       // times as often as its warmth alone would have it
 	held         float64       // load that the latest probe reported
 	heldAt       time.Duration
 	mention      int    // its place among all that were ever mentioned
