With none active, unsafe requests avoid an endpoint that failed with what it had taken

Change: that search passes over such endpoints for requests that may not be sent again, unless there is no other.

--- a/balancer.go
+++ b/balancer.go
@@ -431,7 +431,7 @@
 		if soonest != nil && !soonerTrial(e, soonest) {
 			return false
 		}
-		if b.allowed(now, q, e) && !q.tried(e) {
+		if b.allowed(now, q, e) && !q.tried(e) && !(q.precious() && e.risky(now)) {
 			soonest = e
 		}
 		return true
@@ -439,7 +439,7 @@
 	if soonest != nil || turn != nil {
 		return cmp.Or(soonest, turn)
 	}
-	trials.each(func(e *endpoint) bool { // all have been tried: better one of them again than none
+	trials.each(func(e *endpoint) bool { // all were tried or are risky: better one of them than none
 		if soonest == nil && b.allowed(now, q, e) {
 			soonest = e
 		}
