An endpoint that has gone down begins anew at its warmth's part

Cause, found on a second reading: a lone cold endpoint that was quickened kept that when two breaks in a row told that it had gone down, and would have met its next start with up to ten times its warmth's part. Change: that begins at one again. Result: the module's tests pass; no figure was played for it.

--- a/balancer.go
+++ b/balancer.go
@@ -789,7 +789,7 @@
 // back. It guards against a warm endpoint on a cold one's share, while the others get its calls.
 func (b *Balancer) broke(now time.Duration, e *endpoint, r Result) {
 	if e.brokeAt > e.answeredAt {
-		e.Started = max(e.Started, now)
+		e.Started, e.brisk = max(e.Started, now), 1
 	}
 	if r == Reset {
 		e.brokeAt = now
