Callers spread their first sends to a fresh endpoint by their numbers

Cause: each instance drew the moment of its first send to a fresh endpoint at random alone. With one seed on all instances the draws are the same and all send in one instant (test: 20 of 20 in one tenth of a second). Change: the moment is the caller's number times the golden ratio, which spreads any range of numbers (tables take callers of neighbouring numbers), plus a jitter of one caller's width; a caller that knows no number (-1; the daemon's instances known by name only) still draws in the whole turn.

--- a/api.go
+++ b/api.go
@@ -98,7 +98,7 @@
 type Settings struct {
 	Seed       uint64 // for spreading choices that would otherwise be alike in every balancer
 	Balancers  int    // balancers that send to these endpoints, this one included
-	Index      int    // of this one among them, from 0
+	Index      int    // of this one among them, from 0; -1: not known
 	Tier       int    // how many tiers of callers stand before this balancer
 	TiersBelow int    // how many tiers the endpoints themselves depend on
 	Classes    []Class
--- a/balancer.go
+++ b/balancer.go
@@ -189,12 +189,15 @@
 	b.sit(table)
 }
 
-// renew puts a new or restarted endpoint outside the active set, its trial at a random moment of the caller's
-// turn: all callers hear of it at once. What was warm before this balancer began is no newcomer.
+// renew puts a new or restarted endpoint outside the active set, its trial at a moment of the caller's turn:
+// all callers hear of it at once. Drawn at random alone, some would meet: they spread by their numbers as the
+// golden ratio spreads any range, and one that knows none (-1) draws in the whole turn. What was warm before
+// this balancer began is no newcomer.
 func (b *Balancer) renew(now time.Duration, e *endpoint, first bool) {
 	e.active, e.out = first && b.warmth(now, e) == 1, OutNew
 	e.backoff = b.firstBackoff(now)
-	turn := b.rng.Float64()
+	spread := float64(max(b.s.Balancers*min(b.s.Index+1, 1), 1))
+	turn := math.Mod(float64(max(b.s.Index, 0))*0.6180339887+b.rng.Float64()/spread, 1)
 	e.trialAt = now + max(seconds(turn*b.turnGap(now).Seconds()), b.coldGap(now, e, turn))
 	e.sum, e.samples, e.deficit, e.brisk = 0, 0, b.zero(e)+b.rng.Float64(), 1
 	if b.warmth(now, e) < 1 { // also where it is the only one: all callers have waited for it
--- a/internal/daemon/pool.go
+++ b/internal/daemon/pool.go
@@ -128,7 +128,11 @@
 }
 
 func (p *pool) settings() tuliprock.Settings {
-	return tuliprock.Settings{Seed: p.seed, Balancers: p.fleet.Instances, Index: p.fleet.Index, TiersBelow: p.conf.TiersBelow, Classes: p.classes,
+	index := p.fleet.Index
+	if p.fleet.Name != "" { // it knows no number: one of 0 for all would set them in step
+		index = -1
+	}
+	return tuliprock.Settings{Seed: p.seed, Balancers: p.fleet.Instances, Index: index, TiersBelow: p.conf.TiersBelow, Classes: p.classes,
 		Tenants: p.tenants, MayCancel: true, MaxRetryAfter: maxRetryAfter, Resends: p.conf.Resends, Resolution: resolution,
 		ColdFrom: p.conf.ColdFrom, ColdFor: p.conf.ColdFor, ColdShare: p.conf.ColdShare}
 }
