--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -114,7 +114,7 @@
 		gates: map[string]*gate{}, idle: make(chan struct{}, 1), applied: o.Applied, predecessor: o.Predecessor, successor: o.Successor, handOver: o.HandOver}
 	d.meter = newMeter(d)
 	d.warn(c)
-	d.recall(c.State)
+	d.recall(c.State, c.Fleet)
 	opened, err := d.open(c)
 	if err != nil {
 		return nil, err
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"os"
 	"sync"
 	"time"
 
@@ -23,8 +25,21 @@
 	Roster []engine.Member // all that the roster told of, this instance's part or not
 }
 
-// state is what a snapshot holds.
-type state struct{ Pools map[string]*poolState }
+// state is what a snapshot holds. Owner is whose it is: a file copied from another machine or instance speaks of
+// endpoints as others saw them. One written before owners were kept has none, and is used.
+type state struct {
+	Owner string `json:",omitempty"`
+	Pools map[string]*poolState
+}
+
+// owner names the instance that a configuration makes of this process on this machine.
+func owner(f conf.Fleet) string {
+	host, _ := os.Hostname()
+	if f.Name != "" {
+		return fmt.Sprintf("%s/%s", host, f.Name)
+	}
+	return fmt.Sprintf("%s/%d-of-%d", host, f.Index, max(f.Instances, 1))
+}
 
 // keeper writes snapshots.
 type keeper struct {
@@ -36,12 +51,15 @@
 }
 
 // recall reads what the process before this one knew. What cannot be used is told in one line.
-func (d *Daemon) recall(c conf.State) {
+func (d *Daemon) recall(c conf.State, f conf.Fleet) {
 	if c.Path == "" {
 		return
 	}
 	var s state
 	ago, err := snapshot.Read(c.Path, time.Now(), c.FreshFor, &s)
+	if me := owner(f); err == nil && s.Owner != "" && s.Owner != me {
+		err = fmt.Errorf("snapshot %s: it is %s's, and this is %s", c.Path, s.Owner, me)
+	}
 	switch {
 	case errors.Is(err, snapshot.ErrNone):
 	case err != nil:
@@ -87,7 +105,7 @@
 	d.keeper.Lock()
 	defer d.keeper.Unlock()
 	d.mu.RLock()
-	c, pools := d.now.conf.State, d.now.pools
+	c, pools, f := d.now.conf.State, d.now.pools, d.now.conf.Fleet
 	d.mu.RUnlock()
 	k := &d.keeper
 	if k.path != c.Path {
@@ -97,7 +115,7 @@
 	if c.Path == "" || !anyway && time.Since(k.savedAt) < c.Every {
 		return
 	}
-	err := k.write(c.Path, pools)
+	err := k.write(c.Path, owner(f), pools)
 	k.savedAt = time.Now()
 	switch {
 	case err != nil && !k.failing:
@@ -112,13 +130,13 @@
 	}
 }
 
-func (k *keeper) write(path string, pools map[string]*pool) (err error) {
+func (k *keeper) write(path, owner string, pools map[string]*pool) (err error) {
 	if k.lock == nil {
 		if k.lock, err = snapshot.Hold(path); err != nil {
 			return err
 		}
 	}
-	s := state{Pools: map[string]*poolState{}}
+	s := state{Owner: owner, Pools: map[string]*poolState{}}
 	for name, p := range pools {
 		p.part.Lock()
 		all := p.part.All()
