A test of eight built daemons: a partition before one endpoint, then all killed at once

Cause or need: coming back is to be shown by tests that start several built processes and put faults between them. Change: behind the build tag fleet, eight instances of serve before three endpoints, each reached through a relay of faults.

--- /dev/null
+++ b/cmd/rowancart/fleet_test.go
@@ -0,0 +1,233 @@
+//go:build fleet
+
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"tuliprock/internal/faultnet"
+	"tuliprock/internal/testpeer"
+)
+
+// instance is one daemon of a fleet, at a unix socket of its own, with its own snapshot.
+type instance struct {
+	config, front, state string
+	cmd                  *exec.Cmd
+	log                  *journal
+}
+
+func (in *instance) start(t *testing.T, program string) {
+	t.Helper()
+	errs, stderr, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	in.cmd = exec.Command(program, "serve", in.config)
+	in.cmd.Stderr = stderr
+	if err := in.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	stderr.Close()
+	in.log = follow(errs)
+}
+
+// fleet starts n instances before the endpoints given, each of which it reaches through a relay of faults.
+func fleet(t *testing.T, n int, endpoints ...string) ([]*instance, []*faultnet.Relay, string) {
+	t.Helper()
+	dir := t.TempDir()
+	program := filepath.Join(dir, "rowancart")
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Symlink(self, program); err != nil {
+		t.Fatal(err)
+	}
+	var relays []*faultnet.Relay
+	roster := ""
+	for i, e := range endpoints {
+		r, err := faultnet.Listen(e, faultnet.Options{Seed: uint64(i + 1), Conns: 512})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { r.Close() })
+		relays = append(relays, r)
+		roster += fmt.Sprintf("    endpoint %q {\n      address = %q\n    }\n", fmt.Sprint("e", i), r.Addr())
+	}
+	var out []*instance
+	for i := range n {
+		in := &instance{config: filepath.Join(dir, fmt.Sprint("i", i, ".hcl")), front: filepath.Join(dir, fmt.Sprint("i", i, ".sock")),
+			state: filepath.Join(dir, fmt.Sprint("i", i, ".state"))}
+		text := fmt.Sprintf("listener \"front\" {\n  address = \"unix:%s\"\n}\nstate {\n  path = %q\n  every = \"1s\"\n}\nfleet {\n  instances = %d\n  index = %d\n}\n"+
+			"class \"pay\" {\n  effect = \"unsafe\"\n  policy = \"p\"\n}\npolicy \"p\" {\n  request_timeout = \"3s\"\n  attempt_timeout = \"1s\"\n}\n"+
+			"pool \"one\" {\n  roster \"static\" {\n%s  }\n}\nroute \"all\" {\n  path = \"/*\"\n  class = \"pay\"\n  pool = \"one\"\n}\n",
+			in.front, in.state, n, i, roster)
+		if err := os.WriteFile(in.config, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		in.start(t, program)
+		out = append(out, in)
+	}
+	t.Cleanup(func() {
+		for _, in := range out {
+			_ = in.cmd.Process.Kill()
+			_ = in.cmd.Wait()
+		}
+	})
+	for _, in := range out {
+		in.log.wait(t, 1, "listening()")
+	}
+	return out, relays, program
+}
+
+// ledger counts what clients saw and what endpoints ran.
+type ledger struct {
+	mu       sync.Mutex
+	ran      map[string]int
+	answered atomic.Int64 // 200 with the request's own body
+	failed   atomic.Int64 // an error status: given up, never a second run
+	unsent   atomic.Int64 // no instance took it: its socket was not there
+	cut      atomic.Int64 // taken, and the instance was killed under it
+	wrong    atomic.Int64 // anything else
+}
+
+func (l *ledger) serve(nc net.Conn, r *http.Request, _ int) bool {
+	id := r.Header.Get("Req-Id")
+	l.mu.Lock()
+	l.ran[id]++
+	l.mu.Unlock()
+	fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+	return true
+}
+
+// ask sends one request to an instance and books what came of it.
+func (l *ledger) ask(in *instance, id string) bool {
+	var taken atomic.Bool
+	client := &http.Client{Timeout: testpeer.Patience, Transport: &http.Transport{DisableKeepAlives: true,
+		Dial: func(string, string) (net.Conn, error) {
+			nc, err := net.Dial("unix", in.front)
+			taken.Store(err == nil)
+			return nc, err
+		}}}
+	r, _ := http.NewRequest(http.MethodPost, "http://front/x", http.NoBody)
+	r.Header.Set("Req-Id", id)
+	resp, err := client.Do(r)
+	switch {
+	case err != nil && !taken.Load():
+		l.unsent.Add(1)
+		return false
+	case err != nil:
+		l.cut.Add(1)
+		return false
+	}
+	body, err := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	switch {
+	case err == nil && resp.StatusCode == http.StatusOK && string(body) == id:
+		l.answered.Add(1)
+		return true
+	case err == nil && resp.StatusCode >= 500 && string(body) != id:
+		l.failed.Add(1)
+	default:
+		l.wrong.Add(1)
+	}
+	return false
+}
+
+// Eight instances before three endpoints: one endpoint is cut off and comes back, then all eight are killed in the same
+// moment and started again from their snapshots. No request runs twice, none is answered with what is not its own,
+// and all eight serve again within the bound.
+func TestAFleetComesBackFromAPartitionAndAMassKill(t *testing.T) {
+	const n, back = 8, 10 * time.Second
+	l := &ledger{ran: map[string]int{}}
+	var endpoints []string
+	for range 3 {
+		endpoints = append(endpoints, testpeer.New(t, l.serve).Addr)
+	}
+	ins, relays, program := fleet(t, n, endpoints...)
+
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	var asked atomic.Int64
+	for i, in := range ins {
+		clients.Go(func() {
+			for k := 0; k < 100000; k++ { // a bound; the test ends them
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				asked.Add(1)
+				l.ask(in, fmt.Sprintf("%d-%d", i, k))
+			}
+		})
+	}
+	more := func(what string, count int64) {
+		testpeer.Until(t, what, func() func() bool {
+			from := l.answered.Load()
+			return func() bool { return l.answered.Load() >= from+count }
+		}())
+	}
+	more("answers before the partition", 200)
+	relays[0].Set(faultnet.Fault{Hold: true})
+	more("answers during the partition", 200)
+	// An attempt held by the partition ends at its time-out: it may have run, and is answered as failed.
+	testpeer.Until(t, "an attempt held until its time-out", func() bool { return l.failed.Load() > 0 })
+	relays[0].Heal()
+	more("answers after the heal", 200)
+	for _, in := range ins {
+		testpeer.Until(t, "a snapshot of "+in.front, func() bool { _, err := os.Stat(in.state); return err == nil })
+	}
+
+	for _, in := range ins { // in one moment
+		in.cmd.Process.Signal(syscall.SIGKILL)
+	}
+	for _, in := range ins {
+		in.cmd.Wait()
+	}
+	killed := time.Now()
+	for _, in := range ins {
+		in.start(t, program)
+	}
+	var ready []time.Duration
+	for _, in := range ins {
+		in.log.wait(t, 1, "listening()")
+		testpeer.Until(t, "a first answer of "+in.front, func() bool {
+			return l.ask(in, fmt.Sprint("probe-", in.front, "-", time.Now().UnixNano()))
+		})
+		ready = append(ready, time.Since(killed))
+		in.log.wait(t, 1, "starting with what was learned()")
+	}
+	more("answers after the restart", 400)
+	close(stop)
+	clients.Wait()
+
+	slices.Sort(ready)
+	t.Logf("asked %d: %d answered, %d failed, %d not taken, %d cut by the kill; back to service after %v (median) and %v (most)",
+		asked.Load(), l.answered.Load(), l.failed.Load(), l.unsent.Load(), l.cut.Load(), ready[n/2], ready[n-1])
+	if w := l.wrong.Load(); w > 0 {
+		t.Errorf("%d answers were not the request's own", w)
+	}
+	if ready[n-1] > back {
+		t.Errorf("the last instance served again %v after the kill, over %v", ready[n-1], back)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, runs := range l.ran {
+		if runs > 1 {
+			t.Errorf("request %s ran %d times", id, runs)
+		}
+	}
+}
