--- a/cmd/rowancart/fleet_test.go
+++ b/cmd/rowancart/fleet_test.go
@@ -3,6 +3,8 @@
 package main
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -11,12 +13,16 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"tuliprock/internal/faultnet"
 	"tuliprock/internal/testpeer"
 )
@@ -26,6 +32,7 @@
 	config, front, state string
 	cmd                  *exec.Cmd
 	log                  *journal
+	since                time.Time // of its process
 }
 
 func (in *instance) start(t *testing.T, program string) {
@@ -34,7 +41,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	in.cmd = exec.Command(program, "serve", in.config)
+	in.cmd, in.since = exec.Command(program, "serve", in.config), time.Now()
 	in.cmd.Stderr = stderr
 	if err := in.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -146,17 +153,98 @@
 	return false
 }
 
+// restart kills all instances in one moment, spoils what they kept where spoil is given, and starts them all again. It
+// gives the time after the kill at which each served again, and holds each to telling once what it began with.
+func restart(t *testing.T, l *ledger, ins []*instance, program string, spoil func(i int, in *instance) bool) []time.Duration {
+	t.Helper()
+	for _, in := range ins {
+		in.cmd.Process.Signal(syscall.SIGKILL)
+	}
+	for _, in := range ins {
+		in.cmd.Wait()
+	}
+	killed := time.Now()
+	lost := make([]bool, len(ins))
+	for i, in := range ins {
+		lost[i] = spoil != nil && spoil(i, in)
+	}
+	for _, in := range ins {
+		in.start(t, program)
+	}
+	var ready []time.Duration
+	for i, in := range ins {
+		in.log.wait(t, 1, "listening()")
+		testpeer.Until(t, "a first answer of "+in.front, func() bool {
+			return l.ask(in, fmt.Sprint("probe-", in.front, "-", time.Now().UnixNano()))
+		})
+		ready = append(ready, time.Since(killed))
+		said := "starting with what was learned()"
+		if lost[i] {
+			said = "starting without what was learned()"
+		}
+		in.log.wait(t, 1, said)
+		in.log.mu.Lock()
+		n := 0
+		for _, line := range in.log.lines {
+			if strings.Contains(line, `msg="starting with`) {
+				n++
+				t.Logf("instance %d: %s", i, line[strings.Index(line, "msg="):])
+			}
+		}
+		in.log.mu.Unlock()
+		if n != 1 {
+			t.Errorf("instance %d told %d times what it began with", i, n)
+		}
+	}
+	return ready
+}
+
+// spoil loses the snapshots of six instances of eight in six ways, and leaves two.
+func spoil(i int, in *instance) bool {
+	text, err := os.ReadFile(in.state)
+	if err != nil {
+		return false
+	}
+	first, rest, _ := bytes.Cut(text, []byte("\n"))
+	var head map[string]any
+	if json.Unmarshal(first, &head) != nil {
+		return false
+	}
+	switch i {
+	case 0:
+		os.Remove(in.state)
+	case 1:
+		os.WriteFile(in.state, text[:len(text)/2], 0o600)
+	case 2:
+		head["version"] = 99
+	case 3: // a clock an hour ahead wrote it
+		head["written_ms"] = time.Now().Add(time.Hour).UnixMilli()
+	case 4:
+		os.WriteFile(in.state, []byte("not a snapshot\n"), 0o600)
+	case 5:
+		rest = bytes.Replace(rest, []byte("5-of-8"), []byte("7-of-8"), 1) // another's, and no longer whole
+		head["bytes"], head["xxhash64"] = len(rest)-1, strconv.FormatUint(xxhash.Sum64(rest[:len(rest)-1]), 16)
+	default:
+		return false
+	}
+	if i == 2 || i == 3 || i == 5 {
+		first, _ = json.Marshal(head)
+		os.WriteFile(in.state, append(append(first, '\n'), rest...), 0o600)
+	}
+	return true
+}
+
 // Eight instances before three endpoints: one endpoint is cut off and comes back, then all eight are killed in the same
 // moment and started again from their snapshots. No request runs twice, none is answered with what is not its own,
 // and all eight serve again within the bound.
 func TestAFleetComesBackFromAPartitionAndAMassKill(t *testing.T) {
-	const n, back = 8, 10 * time.Second
+	const instances, back = 8, 10 * time.Second
 	l := &ledger{ran: map[string]int{}}
 	var endpoints []string
 	for range 3 {
 		endpoints = append(endpoints, testpeer.New(t, l.serve).Addr)
 	}
-	ins, relays, program := fleet(t, n, endpoints...)
+	ins, relays, program := fleet(t, instances, endpoints...)
 
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
@@ -191,30 +279,22 @@
 		testpeer.Until(t, "a snapshot of "+in.front, func() bool { _, err := os.Stat(in.state); return err == nil })
 	}
 
-	for _, in := range ins { // in one moment
-		in.cmd.Process.Signal(syscall.SIGKILL)
-	}
-	for _, in := range ins {
-		in.cmd.Wait()
-	}
-	killed := time.Now()
-	for _, in := range ins {
-		in.start(t, program)
-	}
-	var ready []time.Duration
-	for _, in := range ins {
-		in.log.wait(t, 1, "listening()")
-		testpeer.Until(t, "a first answer of "+in.front, func() bool {
-			return l.ask(in, fmt.Sprint("probe-", in.front, "-", time.Now().UnixNano()))
+	ready := restart(t, l, ins, program, nil)
+	more("answers after the restart", 400)
+	for _, in := range ins { // written anew, by the processes that run now
+		testpeer.Until(t, "a new snapshot of "+in.front, func() bool {
+			info, err := os.Stat(in.state)
+			return err == nil && info.ModTime().After(in.since)
 		})
-		ready = append(ready, time.Since(killed))
-		in.log.wait(t, 1, "starting with what was learned()")
 	}
-	more("answers after the restart", 400)
+	spoilt := restart(t, l, ins, program, spoil)
+	ready = append(ready, spoilt...)
+	more("answers after the restart without snapshots", 400)
 	close(stop)
 	clients.Wait()
 
 	slices.Sort(ready)
+	n := len(ready)
 	t.Logf("asked %d: %d answered, %d failed, %d not taken, %d cut by the kill; back to service after %v (median) and %v (most)",
 		asked.Load(), l.answered.Load(), l.failed.Load(), l.unsent.Load(), l.cut.Load(), ready[n/2], ready[n-1])
 	if w := l.wrong.Load(); w > 0 {
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -61,7 +61,8 @@
 		err = fmt.Errorf("snapshot %s: it is %s's, and this is %s", c.Path, s.Owner, me)
 	}
 	switch {
-	case errors.Is(err, snapshot.ErrNone):
+	case errors.Is(err, snapshot.ErrNone): // a first start, or a file that was lost: both are told, once
+		d.log.Info("starting without what was learned", "err", err)
 	case err != nil:
 		d.log.Warn("starting without what was learned", "err", err)
 	default:
