rowancart fleet: a supervisor of the instances on one machine

Cause or need: coming back takes a supervisor that restarts instances without a stampede and survives its own restart. SIGTERM ends all, SIGKILL after stop_within.

--- /dev/null
+++ b/cmd/rowancart/fleet.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"log/slog"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"tuliprock/internal/fleet"
+)
+
+func newFleet() *cobra.Command {
+	return &cobra.Command{
+		Use:   "fleet FILE",
+		Short: "Run and watch the instances of a fleet on this machine",
+		Long: `Run the instances that the file names, each as "serve CONFIG" with ROWANCART_INDEX, ROWANCART_INSTANCES,
+ROWANCART_ADMIN and ROWANCART_STATE in its environment, which its configuration reads with env().
+
+An instance that ends is started again after a back-off that doubles with each failure in a row; one that is not healthy
+at its admin socket in time is killed. The supervisor keeps its own state in the folder, and one that starts after it
+takes up the instances that still run. A second supervisor of the same folder refuses to start. At SIGTERM or SIGINT all
+instances are ended.`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			f, err := fleet.Load(args[0])
+			if err != nil {
+				return err
+			}
+			self, err := exec.LookPath(os.Args[0])
+			if err == nil {
+				self, err = filepath.Abs(self)
+			}
+			if err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			return fleet.Run(ctx, f, fleet.Options{Program: self, Log: slog.Default()})
+		},
+	}
+}
--- a/cmd/rowancart/fleet_test.go
+++ b/cmd/rowancart/fleet_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -24,6 +25,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"tuliprock/internal/faultnet"
+	"tuliprock/internal/snapshot"
 	"tuliprock/internal/testpeer"
 )
 
@@ -50,8 +52,8 @@
 	in.log = follow(errs)
 }
 
-// fleet starts n instances before the endpoints given, each of which it reaches through a relay of faults.
-func fleet(t *testing.T, n int, endpoints ...string) ([]*instance, []*faultnet.Relay, string) {
+// startFleet starts n instances before the endpoints given, each of which it reaches through a relay of faults.
+func startFleet(t *testing.T, n int, endpoints ...string) ([]*instance, []*faultnet.Relay, string) {
 	t.Helper()
 	dir := t.TempDir()
 	program := filepath.Join(dir, "rowancart")
@@ -244,7 +246,7 @@
 	for range 3 {
 		endpoints = append(endpoints, testpeer.New(t, l.serve).Addr)
 	}
-	ins, relays, program := fleet(t, instances, endpoints...)
+	ins, relays, program := startFleet(t, instances, endpoints...)
 
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
@@ -311,3 +313,140 @@
 		}
 	}
 }
+
+// supervisor is a rowancart fleet process, its log, and the folder whose state tells its instances.
+type supervisor struct {
+	cmd    *exec.Cmd
+	log    *journal
+	folder string
+}
+
+func superviseFleet(t *testing.T, program, file, folder string, n int) *supervisor {
+	t.Helper()
+	errs, stderr, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &supervisor{cmd: exec.Command(program, "fleet", file), folder: folder}
+	s.cmd.Stderr = stderr
+	if err := s.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	stderr.Close()
+	s.log = follow(errs)
+	s.log.wait(t, n, `msg="instance (?:taken up|started)"()`) // and it heeds SIGTERM from now on
+	return s
+}
+
+// pids are the instances' processes as the supervisor's state tells them; 0 for one that does not run.
+func (s *supervisor) pids(t *testing.T) []int {
+	t.Helper()
+	var k struct{ Instances []struct{ Pid int } }
+	if _, err := snapshot.Read(filepath.Join(s.folder, "fleet.state"), time.Now(), time.Hour, &k); err != nil {
+		return nil
+	}
+	var out []int
+	for _, in := range k.Instances {
+		out = append(out, in.Pid)
+	}
+	return out
+}
+
+// healthy tells whether all n instances run and answer for their health.
+func (s *supervisor) healthy(t *testing.T, n int) bool {
+	pids := s.pids(t)
+	if len(pids) != n {
+		return false
+	}
+	for i, pid := range pids {
+		if pid == 0 || syscall.Kill(pid, 0) != nil {
+			return false
+		}
+		client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true,
+			Dial: func(string, string) (net.Conn, error) {
+				return net.Dial("unix", filepath.Join(s.folder, fmt.Sprintf("admin-%d.sock", i)))
+			}}}
+		resp, err := client.Get("http://admin/healthz")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+// Seeded kills of instances and of the supervisor itself: after each, all eight serve again, and at the end no
+// process of any of them is left.
+func TestASupervisorBringsBackWhatIsKilledAndLeavesNothing(t *testing.T) {
+	const n, kills = 8, 60
+	box := testpeer.New(t, testpeer.Says(testpeer.Served, true))
+	dir := t.TempDir()
+	program := filepath.Join(dir, "rowancart")
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Symlink(self, program); err != nil {
+		t.Fatal(err)
+	}
+	instance := fmt.Sprintf("admin {\n  listen = env(\"ROWANCART_ADMIN\")\n}\nlistener \"front\" {\n  address = \"unix:${env(\"ROWANCART_STATE\")}.sock\"\n}\n"+
+		"state {\n  path = env(\"ROWANCART_STATE\")\n}\nfleet {\n  instances = env(\"ROWANCART_INSTANCES\")\n  index = env(\"ROWANCART_INDEX\")\n}\n"+
+		"class \"look\" {\n  effect = \"safe\"\n}\npool \"one\" {\n  roster \"static\" {\n    endpoint \"a\" {\n      address = %q\n    }\n  }\n}\n"+
+		"route \"all\" {\n  path = \"/*\"\n  class = \"look\"\n  pool = \"one\"\n}\n", box.Addr)
+	file := filepath.Join(dir, "fleet.hcl")
+	for name, text := range map[string]string{"instance.hcl": instance, "fleet.hcl": fmt.Sprintf("fleet {\n  instances = %d\n  config = \"instance.hcl\"\n"+
+		"  folder = \"run\"\n  seed = 5\n  ready_within = \"5s\"\n  stop_within = \"5s\"\n  back_off {\n    first = \"50ms\"\n    most = \"400ms\"\n  }\n}\n", n)} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	folder := filepath.Join(dir, "run")
+	seen := map[int]bool{}
+	s := superviseFleet(t, program, file, folder, n)
+	t.Cleanup(func() {
+		_ = s.cmd.Process.Kill()
+		for pid := range seen {
+			_ = syscall.Kill(pid, syscall.SIGKILL)
+		}
+	})
+	rng, supervisors := rand.New(rand.NewPCG(11, 0)), 0
+	for k := range kills {
+		testpeer.Until(t, fmt.Sprintf("all %d healthy before kill %d", n, k+1), func() bool { return s.healthy(t, n) })
+		pids := s.pids(t)
+		for _, pid := range pids {
+			seen[pid] = true
+		}
+		if rng.IntN(6) == 0 { // the supervisor: one that follows takes up what runs
+			supervisors++
+			s.cmd.Process.Signal(syscall.SIGKILL)
+			s.cmd.Wait()
+			s = superviseFleet(t, program, file, folder, n)
+			continue
+		}
+		syscall.Kill(pids[rng.IntN(n)], syscall.SIGKILL)
+	}
+	testpeer.Until(t, "all healthy after the last kill", func() bool { return s.healthy(t, n) })
+	for _, pid := range s.pids(t) {
+		seen[pid] = true
+	}
+	if err := s.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.cmd.Wait(); err != nil {
+		t.Errorf("the supervisor ends with %v", err)
+	}
+	left := 0
+	for pid := range seen {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+		if _, state, _ := strings.Cut(string(stat), ") "); err == nil && !strings.HasPrefix(state, "Z") { // the dead wait for init
+			left++
+		}
+	}
+	if left > 0 {
+		t.Errorf("%d of %d instances' processes are left", left, len(seen))
+	}
+	t.Logf("%d kills, %d of them of the supervisor; %d processes of instances in all", kills, supervisors, len(seen))
+}
--- a/cmd/rowancart/root.go
+++ b/cmd/rowancart/root.go
@@ -27,7 +27,7 @@
 	}
 	root.PersistentFlags().StringVar(&format, "log-format", "text", "form of the log: text or json")
 	root.PersistentFlags().StringVar(&level, "log-level", "info", "least level that is logged: debug, info, warn or error")
-	root.AddCommand(newServe(), newConfig(), newLab(), &cobra.Command{
+	root.AddCommand(newServe(), newFleet(), newConfig(), newLab(), &cobra.Command{
 		Use:   "version",
 		Short: "Print the version that this program was built from",
 		Args:  cobra.NoArgs,
