Tests put this program into a folder as rowancart in one place

Cause or need: three tests linked the test program into a folder under its serving name, each with the same eight lines. Change: programIn does it for all.

--- a/cmd/rowancart/fleet_test.go
+++ b/cmd/rowancart/fleet_test.go
@@ -56,14 +56,7 @@
 func startFleet(t *testing.T, n int, endpoints ...string) ([]*instance, []*faultnet.Relay, string) {
 	t.Helper()
 	dir := t.TempDir()
-	program := filepath.Join(dir, "rowancart")
-	self, err := os.Executable()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := os.Symlink(self, program); err != nil {
-		t.Fatal(err)
-	}
+	program := programIn(t, dir)
 	var relays []*faultnet.Relay
 	roster := ""
 	for i, e := range endpoints {
@@ -384,14 +377,7 @@
 	const n, kills = 8, 60
 	box := testpeer.New(t, testpeer.Says(testpeer.Served, true))
 	dir := t.TempDir()
-	program := filepath.Join(dir, "rowancart")
-	self, err := os.Executable()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := os.Symlink(self, program); err != nil {
-		t.Fatal(err)
-	}
+	program := programIn(t, dir)
 	instance := fmt.Sprintf("admin {\n  listen = env(\"ROWANCART_ADMIN\")\n}\nlistener \"front\" {\n  address = \"unix:${env(\"ROWANCART_STATE\")}.sock\"\n}\n"+
 		"state {\n  path = env(\"ROWANCART_STATE\")\n}\nfleet {\n  instances = env(\"ROWANCART_INSTANCES\")\n  index = env(\"ROWANCART_INDEX\")\n}\n"+
 		"class \"look\" {\n  effect = \"safe\"\n}\npool \"one\" {\n  roster \"static\" {\n    endpoint \"a\" {\n      address = %q\n    }\n  }\n}\n"+
--- a/cmd/rowancart/handover_test.go
+++ b/cmd/rowancart/handover_test.go
@@ -75,6 +75,20 @@
 	return p
 }
 
+// programIn puts this program into dir as rowancart, the name by which it serves, and gives its path.
+func programIn(t *testing.T, dir string) string {
+	t.Helper()
+	program := filepath.Join(dir, "rowancart")
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Symlink(self, program); err != nil {
+		t.Fatal(err)
+	}
+	return program
+}
+
 // replaceable is a daemon that serves at a unix socket, from a program that can be replaced.
 type replaceable struct {
 	program, front string
@@ -86,14 +100,7 @@
 func serveReplaceable(t *testing.T, box string) *replaceable {
 	t.Helper()
 	dir := t.TempDir()
-	d := &replaceable{program: filepath.Join(dir, "rowancart"), front: filepath.Join(dir, "front")}
-	self, err := os.Executable()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := os.Symlink(self, d.program); err != nil {
-		t.Fatal(err)
-	}
+	d := &replaceable{program: programIn(t, dir), front: filepath.Join(dir, "front")}
 	config := filepath.Join(dir, "rowancart.hcl")
 	if err := os.WriteFile(config, fmt.Appendf(nil, "listener \"front\" {\n  address = \"unix:%s\"\n}\nstate {\n  path = %q\n}\nlimits {\n  hand_over_within = \"2s\"\n}\n"+
 		"class \"pay\" {\n  effect = \"unsafe\"\n}\npool \"one\" {\n  roster \"static\" {\n    endpoint \"a\" {\n      address = %q\n    }\n  }\n}\n"+
