The supervisor's test holds a second supervisor of the same fleet to one line and a failure

Cause or need: two supervisors on one file must not both run: the second refuses with one line. That was seen by hand only. Change: the test starts a second supervisor beside the first and holds it to a non-zero exit and one line that says why. Measured: passes -race -count=2 (25 s).

--- a/cmd/rowancart/fleet_test.go
+++ b/cmd/rowancart/fleet_test.go
@@ -398,6 +398,10 @@
 			_ = syscall.Kill(pid, syscall.SIGKILL)
 		}
 	})
+	second, err := exec.Command(program, "fleet", file).CombinedOutput()
+	if err == nil || strings.Count(string(second), "\n") != 1 || !strings.Contains(string(second), "another supervisor runs this fleet") {
+		t.Errorf("a second supervisor of the fleet: %v, %q", err, second)
+	}
 	rng, supervisors := rand.New(rand.NewPCG(11, 0)), 0
 	for k := range kills {
 		testpeer.Until(t, fmt.Sprintf("all %d healthy before kill %d", n, k+1), func() bool { return s.healthy(t, n) })
