--- a/internal/faultnet/script.go
+++ b/internal/faultnet/script.go
@@ -5,6 +5,7 @@
 package faultnet
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -63,7 +64,7 @@
 // At is the fault in force at a time after the start.
 func (s Script) At(elapsed time.Duration) Fault {
 	steps := slices.Clone(s)
-	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	var out Fault
 	for _, st := range steps {
 		if st.At <= elapsed && (st.For == 0 || elapsed < st.At+st.For) {
