--- a/cmd/rowancart/fleet_test.go
+++ b/cmd/rowancart/fleet_test.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -371,10 +372,13 @@
 	return true
 }
 
+var fleetKills = flag.Int("fleet.kills", 60, "kills of instances and of the supervisor in the supervisor's test")
+
 // Seeded kills of instances and of the supervisor itself: after each, all eight serve again, and at the end no
 // process of any of them is left.
 func TestASupervisorBringsBackWhatIsKilledAndLeavesNothing(t *testing.T) {
-	const n, kills = 8, 60
+	const n = 8
+	kills := *fleetKills
 	box := testpeer.New(t, testpeer.Says(testpeer.Served, true))
 	dir := t.TempDir()
 	program := programIn(t, dir)
