Tests share one stream of calls; the relay's tests wait by testpeer.Until; a String nothing calls is gone

Cause or need: the new test of quickening wrote again the loop of calls and ends of the test of a lone cold endpoint; the relay's tests had loops of their own around a sleep where testpeer.Until does the same; Phase.String was called nowhere.

--- a/internal/faultnet/faultnet_test.go
+++ b/internal/faultnet/faultnet_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"tuliprock/internal/testpeer"
 )
 
 func TestScriptTellsTheFaultInForce(t *testing.T) {
@@ -83,12 +85,7 @@
 	roundTrip(t, c, in, "before")
 	r.Set(Fault{Hold: true})
 	io.WriteString(c, "during\n")
-	for i := 0; r.Stats().Held == 0; i++ {
-		if i > 10000 {
-			t.Fatal("the chunk sent during the partition is not held")
-		}
-		time.Sleep(time.Millisecond) // waits for the relay's goroutine; decides nothing
-	}
+	testpeer.Until(t, "the chunk sent during the partition held", func() bool { return r.Stats().Held > 0 })
 	r.Heal()
 	if got, err := in.ReadString('\n'); err != nil || got != "during\n" {
 		t.Fatalf("after the heal: %q (%v)", got, err)
@@ -140,12 +137,7 @@
 	roundTrip(t, c, in, "one")
 	r.Set(Fault{Half: true, Way: Back})
 	io.WriteString(c, "two\n")
-	for i := 0; r.Stats().Carried < int64(len("one\n")*2+len("two\n")); i++ {
-		if i > 10000 {
-			t.Fatalf("what the caller sent did not pass: %+v", r.Stats())
-		}
-		time.Sleep(time.Millisecond) // waits for the relay's goroutine; decides nothing
-	}
+	testpeer.Until(t, "what the caller sent passed", func() bool { return r.Stats().Carried >= int64(len("one\n")*2+len("two\n")) })
 	if s := r.Stats(); s.Carried != int64(len("one\n")*2+len("two\n")) {
 		t.Errorf("the answer passed a half-open way: %+v", s)
 	}
--- a/internal/supervise/supervise.go
+++ b/internal/supervise/supervise.go
@@ -30,10 +30,6 @@
 	Killing // told to end; waits for its exit
 )
 
-func (p Phase) String() string {
-	return [...]string{"down", "starting", "healthy", "killing"}[p]
-}
-
 // Verb is what the caller is to do.
 type Verb int
 
--- a/outage_test.go
+++ b/outage_test.go
@@ -178,27 +178,12 @@
 			r.wait(19 * ms)
 		}
 		r.b.EndpointList(r.now, tuliprock.List{Entries: []tuliprock.Endpoint{{ID: "a", Started: r.now}}})
-		due, sent, seen := map[string]time.Duration{}, 0, len(r.did)
-		for begun := r.now; r.now < begun+3*time.Second; {
-			if r.now%(20*ms) == 0 {
-				r.call("read")
+		sent, begun := 0, r.now
+		r.stream(20*ms, 3*time.Second, func(string) time.Duration { return c.took }, func(string) {
+			if r.now >= begun+2*time.Second {
+				sent++
 			}
-			r.wait(ms)
-			for _, id := range slices.Sorted(maps.Keys(due)) {
-				if r.now >= due[id] {
-					delete(due, id)
-					r.end(id, tuliprock.OK)
-				}
-			}
-			for ; seen < len(r.did); seen++ {
-				if f := strings.Fields(r.did[seen]); f[0] == "send" {
-					due[f[1]] = r.now + c.took
-					if r.now >= begun+2*time.Second {
-						sent++
-					}
-				}
-			}
-		}
+		})
 		if sent < c.least || sent > c.most {
 			t.Errorf("of 50 requests a second that take %v, %d were sent; %d to %d are right", c.took, sent, c.least, c.most)
 		}
@@ -212,9 +197,20 @@
 	r.warm(300, map[string]time.Duration{"a": 20 * ms, "b": 20 * ms, "c": 20 * ms})
 	r.b.EndpointList(r.now, tuliprock.List{Entries: []tuliprock.Endpoint{{ID: "new", Started: r.now}}})
 	took := map[string]time.Duration{"a": 400 * ms, "b": 400 * ms, "c": 400 * ms, "new": 5 * ms}
-	due, seen, sent := map[string]time.Duration{}, len(r.did), map[string]int{}
-	for begun := r.now; r.now < begun+3*time.Second; {
-		if r.now%(10*ms) == 0 {
+	sent := map[string]int{}
+	r.stream(10*ms, 3*time.Second, func(ep string) time.Duration { return took[ep] }, func(ep string) { sent[ep]++ })
+	// A quarter of 300 calls, times the share of 1.5 and a warmth that goes from 0.3 to 0.53: about 50.
+	if sent["new"] == 0 || sent["new"] > 60 {
+		t.Errorf("the cold endpoint was sent %d of 300 calls in 3 s: %v", sent["new"], sent)
+	}
+}
+
+// stream calls every so often for a while, and ends each call that was sent after the time its endpoint takes; sent hears
+// of each send as it is made.
+func (r *rig) stream(every, lasting time.Duration, took func(ep string) time.Duration, sent func(ep string)) {
+	due, seen := map[string]time.Duration{}, len(r.did)
+	for begun := r.now; r.now < begun+lasting; {
+		if r.now%every == 0 {
 			r.call("read")
 		}
 		r.wait(ms)
@@ -226,12 +222,9 @@
 		}
 		for ; seen < len(r.did); seen++ {
 			if f := strings.Fields(r.did[seen]); f[0] == "send" {
-				due[f[1]], sent[f[2]] = r.now+took[f[2]], sent[f[2]]+1
+				due[f[1]] = r.now + took(f[2])
+				sent(f[2])
 			}
 		}
 	}
-	// A quarter of 300 calls, times the share of 1.5 and a warmth that goes from 0.3 to 0.53: about 50.
-	if sent["new"] == 0 || sent["new"] > 60 {
-		t.Errorf("the cold endpoint was sent %d of 300 calls in 3 s: %v", sent["new"], sent)
-	}
 }
