--- a/cmd/rowancart/fleet_test.go
+++ b/cmd/rowancart/fleet_test.go
@@ -218,7 +218,7 @@
 	case 4:
 		os.WriteFile(in.state, []byte("not a snapshot\n"), 0o600)
 	case 5:
-		rest = bytes.Replace(rest, []byte("5-of-8"), []byte("7-of-8"), 1) // another's, and no longer whole
+		rest = bytes.Replace(rest, []byte(`/index-5"`), []byte(`/index-7"`), 1) // another's, and no longer whole
 		head["bytes"], head["xxhash64"] = len(rest)-1, strconv.FormatUint(xxhash.Sum64(rest[:len(rest)-1]), 16)
 	default:
 		return false
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -771,17 +771,18 @@
 }
 
 // A snapshot of another instance, here one of another number, is not taken for this one's: it says so once and begins anew.
+// One of a fleet that has grown since is its own.
 func TestASnapshotOfAnotherInstanceIsNotUsed(t *testing.T) {
 	quick := testpeer.New(t, answer("200 OK", "", "quick"))
 	state := filepath.Join(t.TempDir(), "state")
-	text := func(index int) string {
-		return fmt.Sprintf("state {\n path = %q\n}\nfleet {\n instances = 2\n index = %d\n}\n", state, index) +
+	text := func(index int, of ...int) string {
+		return fmt.Sprintf("state {\n path = %q\n}\nfleet {\n instances = %d\n index = %d\n}\n", state, append(of, 2)[0], index) +
 			aPool("one", quick.Addr) + aRoute("x", "/x", "look", "one", "")
 	}
 	s := serve(t, text(0))
 	s.ask(http.MethodGet, "/x")
 	s.end()
-	s = serve(t, text(0))
+	s = serve(t, text(0, 3)) // one more in the fleet: still the same instance
 	if !strings.Contains(s.log.String(), "starting with what was learned") {
 		t.Errorf("its own snapshot is not used:\n%s", s.log)
 	}
@@ -790,7 +791,7 @@
 	if status, _, _ := s.ask(http.MethodGet, "/x"); status != http.StatusOK {
 		t.Errorf("with another's snapshot: %d", status)
 	}
-	if log := s.log.String(); strings.Count(log, "starting without what was learned") != 1 || !strings.Contains(log, "0-of-2's") {
+	if log := s.log.String(); strings.Count(log, "starting without what was learned") != 1 || !strings.Contains(log, "index-0's") {
 		t.Errorf("not told once whose it is:\n%s", log)
 	}
 }
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -32,13 +32,14 @@
 	Pools map[string]*poolState
 }
 
-// owner names the instance that a configuration makes of this process on this machine.
+// owner names the instance that a configuration makes of this process on this machine. The fleet's size is not in it:
+// an instance of a fleet that grows is still the one it was.
 func owner(f conf.Fleet) string {
 	host, _ := os.Hostname()
 	if f.Name != "" {
 		return fmt.Sprintf("%s/%s", host, f.Name)
 	}
-	return fmt.Sprintf("%s/%d-of-%d", host, f.Index, max(f.Instances, 1))
+	return fmt.Sprintf("%s/index-%d", host, f.Index)
 }
 
 // keeper writes snapshots.
