rowancart fleet: a runner given no logger logs by slog's default

Cause or need: read again, Run used Options.Log unchecked, so a caller that left it nil would crash at the first start. Change: nil means slog.Default(), as the field now says. Measured: vet clean; the command passed its logger already, so nothing it does changes.

--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -30,7 +30,7 @@
 // Options are what the command gives beside the file.
 type Options struct {
 	Program string // that serves; "serve CONFIG" is added
-	Log     *slog.Logger
+	Log     *slog.Logger // slog.Default() where nil
 }
 
 // kept is what the supervisor writes of its instances, for one that follows it.
@@ -61,6 +61,9 @@
 // Run supervises the fleet until ctx ends, then ends every instance and returns. A second supervisor of the same
 // folder refuses to start.
 func Run(ctx context.Context, f *File, o Options) error {
+	if o.Log == nil {
+		o.Log = slog.Default()
+	}
 	if err := os.MkdirAll(f.Folder, 0o700); err != nil {
 		return fmt.Errorf("fleet: %w", err)
 	}
