--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -29,7 +29,7 @@
 
 // Options are what the command gives beside the file.
 type Options struct {
-	Program string // that serves; "serve CONFIG" is added
+	Program string       // that serves; "serve CONFIG" is added
 	Log     *slog.Logger // slog.Default() where nil
 }
 
