A first list's cold trials wait for the table and for the caller's rate

Change: hear fills the table before it renews what started; trials timed while the caller's rate was unknown are timed again once it is known, at Recall or at the first call (retime, over the cold list only).

--- a/balancer.go
+++ b/balancer.go
@@ -86,10 +86,10 @@
 func (b *Balancer) hear(now time.Duration, l List) {
 	first := b.known == 0
 	touched, started := b.merge(l)
+	b.fill(touched) // a trial's moment is by the members of the table: with none, all first trials are due
 	for _, e := range started {
 		b.renew(now, e, first)
 	}
-	b.fill(touched)
 	if first {
 		b.room = b.roomFor(b.known + b.others)
 	}
@@ -100,8 +100,7 @@
 	b.release(now)
 }
 
-// Ban takes an endpoint out at the operators' word, from now on and whatever the list says. What is out
-// there goes on to its end.
+// Ban takes an endpoint out at the operators' word, now and whatever the list says; what is out there ends.
 func (b *Balancer) Ban(now time.Duration, id string) {
 	b.banned[id] = true
 	b.relist(now, id)
@@ -131,6 +130,7 @@
 
 // count follows the rate of requests and, with it, how many endpoints the table is to have.
 func (b *Balancer) count(now time.Duration) {
+	defer b.retime(now, b.calls == 0) // the first call tells the rate that no list before it knew
 	b.slow = b.slow*math.Exp(-(now-b.callsAt).Seconds()/rateMemory.Seconds()) + 1
 	b.calls, b.callsAt = b.calls*math.Exp(-(now-b.callsAt).Seconds()/memory.Seconds())+1, now
 	want := b.rate(now) * tableGap.Seconds()
@@ -143,8 +143,7 @@
 // fill chooses the caller's table, the endpoints that it spreads its calls over. It guards against many quiet
 // callers that meet each endpoint too seldom to know it, and open a connection for nearly every call. Tables
 // are even steps through the list, sorted by kind and begun at the caller's own place: all endpoints get as
-// many callers, all callers the same mix of kinds.
-// What it is told has changed decides how much there is to do.
+// many callers, all callers the same mix of kinds. What has changed decides the work.
 func (b *Balancer) fill(touched []*endpoint) {
 	n, callers := float64(b.ready), float64(max(b.s.Balancers, 1))
 	size := math.Floor(max(b.size, tableLeast, tableShare*(n+float64(b.others))/callers))
@@ -189,10 +188,9 @@
 	b.sit(table)
 }
 
-// renew puts a new or restarted endpoint outside the active set, its trial at a moment of the caller's turn:
-// all callers hear of it at once. Drawn at random alone, some would meet: they spread by their numbers as the
-// golden ratio spreads any range, and one that knows none (-1) draws in the whole turn. What was warm before
-// this balancer began is no newcomer.
+// renew puts a new or restarted endpoint outside the active set, its trial at a moment of the caller's turn.
+// All hear of it at once, and drawn at random alone some would meet: their numbers spread them as the golden
+// ratio spreads a range; one that knows none (-1) draws in the whole turn. What was warm at the start is old.
 func (b *Balancer) renew(now time.Duration, e *endpoint, first bool) {
 	e.active, e.out = first && b.warmth(now, e) == 1, OutNew
 	e.backoff = b.firstBackoff(now)
@@ -207,6 +205,15 @@
 	b.place(e)
 }
 
+// retime times again, when asked, the trials of cold endpoints that were timed by a rate not known then.
+func (b *Balancer) retime(now time.Duration, asked bool) {
+	for _, e := range b.cold {
+		if asked && e.State == Ready && e.out == OutNew && e.samples == 0 && b.warmth(now, e) < 1 {
+			b.renew(now, e, false)
+		}
+	}
+}
+
 // coldGap is the time until a cold endpoint's part of the caller's own traffic, little more than a warm
 // share, comes to so many turns; between two sends, trials included, to one. It guards against all callers
 // together pushing the endpoint over. The part is the area under the warmth: by the warmth at the last send
@@ -683,8 +690,7 @@
 	return q.class.Effect == Keyed && q.class.Group != GroupAll && slices.ContainsFunc(b.endpoints, may)
 }
 
-// whyNot tells what rules one more attempt out: rules, limit, time or budget. Resends must not multiply over
-// tiers.
+// whyNot tells what rules one more attempt out: rules, limit, time or budget, lest resends multiply by tiers.
 func (b *Balancer) whyNot(now time.Duration, q *request, free bool) Reason {
 	most := cmp.Or(q.class.MaxAttempts, b.s.MaxAttempts)
 	switch {
--- a/learned.go
+++ b/learned.go
@@ -115,6 +115,7 @@
 		}
 	}
 	b.recallRate(now, l, ago)
+	b.retime(now, true)
 	left, active := fadedBy(ago), len(b.turns.list)
 	for _, in := range l.Endpoints {
 		e := b.byName[in.ID]
--- a/state.go
+++ b/state.go
@@ -173,8 +173,7 @@
 }
 
 // Configure replaces the settings. All that was learned stays, classes and tenants by their names. A request
-// that has come is treated to its end as its class was when it came. Seed and MustSubscribe keep their first
-// values.
+// that has come is treated to its end as its class was when it came. Seed and MustSubscribe stay.
 func (b *Balancer) Configure(now time.Duration, s Settings) {
 	s.Seed, s.MustSubscribe = b.s.Seed, b.s.MustSubscribe
 	b.settle(now, s)
