--- a/balancer.go
+++ b/balancer.go
@@ -100,7 +100,7 @@
 	b.release(now)
 }
 
-// Ban takes an endpoint out at the operators' word, now and whatever the list says; what is out there ends.
+// Ban takes an endpoint out at the operators' word, whatever the list says; what is out there goes on.
 func (b *Balancer) Ban(now time.Duration, id string) {
 	b.banned[id] = true
 	b.relist(now, id)
@@ -190,7 +190,7 @@
 
 // renew puts a new or restarted endpoint outside the active set, its trial at a moment of the caller's turn.
 // All hear of it at once, and drawn at random alone some would meet: their numbers spread them as the golden
-// ratio spreads a range; one that knows none (-1) draws in the whole turn. What was warm at the start is old.
+// ratio spreads a range; one that knows none (-1) draws in the whole turn. What was warm at first is active.
 func (b *Balancer) renew(now time.Duration, e *endpoint, first bool) {
 	e.active, e.out = first && b.warmth(now, e) == 1, OutNew
 	e.backoff = b.firstBackoff(now)
--- a/experiments/fleet-mass-restart.hcl
+++ b/experiments/fleet-mass-restart.hcl
@@ -1,7 +1,7 @@
 # Every instance is killed in the same instant and begins again 300 ms later, at 75% load; while they are down one box is
 # replaced by a fresh one, which they all hear of as they come back. Two of the boxes share their machines with others.
-# Open: at 100 and 1000 instances the fresh box is sent more than it can take (docs/results/recovery.md says why); the
-# file expects what the module does not yet bring.
+# Open: with snapshots at 100 instances some seeds still send the fresh box more than it can take (docs/results/recovery.md);
+# the file expects what the module does not yet bring on every seed.
 experiment "fleet-mass-restart" {
   question = "Does a fleet that restarts at once come back without pushing a box over, with and without snapshots?"
   duration = "30s"
