An answer longer than any may be is a failed attempt, not one that is passed on

Cause: internal/engine/upstream.go, readBody, `case length > MaxBody`, with no upper bound; Stream.Read likewise for chunks that never end. A longer length fails the attempt, so that a safe request is sent again; an answer of untold length breaks off there, so that the caller can tell. A relay (the daemon) passes on what there is, as before.

Tests: a row of TestAnAnswerTellsTheOutcome and TestAnEndlessAnswerBreaksOff, both seen to fail without the change.

--- a/internal/engine/message.go
+++ b/internal/engine/message.go
@@ -172,13 +172,19 @@
 	upstream *upstream
 	body     *framing.Body
 	last     bool                     // the connection's last answer
+	left     int64                    // bytes that it may still bring
 	over     func(r tuliprock.Result) // is told how it ended
 	broken   error                    // why it could not be read on
 	closed   atomic.Bool
 }
 
+// stream is what follows of an answer whose beginning was read.
+func (u *upstream) stream(c *conn, body *framing.Body, last bool) *Stream {
+	return &Stream{conn: c, upstream: u, body: body, last: last, left: u.longest()}
+}
+
 // Ended tells whether the answer was read to its end.
-func (s *Stream) Ended() bool { return s.body.Ended() }
+func (s *Stream) Ended() bool { return s.broken == nil && s.body.Ended() }
 
 // Read implements io.Reader. An error but io.EOF means that the answer has broken off.
 func (s *Stream) Read(p []byte) (int, error) {
@@ -187,6 +193,9 @@
 		return 0, s.broken
 	}
 	n, err := s.body.Read(p)
+	if s.left -= int64(n); s.left < 0 {
+		n, err = 0, errTooLong
+	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		s.broken = err
 	}
@@ -203,7 +212,7 @@
 	}
 	r := tuliprock.Canceled
 	switch {
-	case s.body.Ended():
+	case s.Ended():
 		r = tuliprock.OK
 	case s.broken != nil:
 		r = tuliprock.Reset
--- a/internal/engine/upstream.go
+++ b/internal/engine/upstream.go
@@ -37,6 +37,7 @@
 const (
 	MaxBody        = 64 << 10          // bytes of a request's or an answer's body
 	MaxHead        = 16 << 10          // bytes of its head
+	MaxLong        = 40 << 20          // bytes of a body that flows; the platform's have up to 32 MB
 	DeadlineHeader = "Req-Deadline-Ms" // how long a caller waits, in milliseconds
 )
 
@@ -437,7 +438,7 @@
 	if m.Upload != nil && l.written != nil {
 		l.written()
 	}
-	a, last, err := c.readAnswer(m.Method, l.deadline, u.passes)
+	a, last, err := c.readAnswer(u, m.Method, l.deadline)
 	if err != nil {
 		return l.broken(err), Answer{}, false, err
 	}
@@ -449,9 +450,6 @@
 		} else {
 			maps.DeleteFunc(a.Header, func(name string, _ []string) bool { return name != "Content-Type" })
 		}
-		if a.Rest != nil {
-			a.Rest.upstream, a.Rest.last = u, last
-		}
 		return tuliprock.OK, a, reusable, nil
 	case isUnavailable(a.Status) && a.Header.Get(declined) == "1":
 		return tuliprock.Full, Answer{}, reusable, errDeclined
@@ -464,6 +462,14 @@
 	return status == http.StatusOK || u.relay && status < http.StatusInternalServerError
 }
 
+// longest is how many bytes an answer's body may have. What a relay passes on has no bound that an engine knows of.
+func (u *upstream) longest() int64 {
+	if u.relay {
+		return math.MaxInt64
+	}
+	return MaxLong
+}
+
 // unsent tells how an attempt ended that was not written whole. An endpoint begins a request when its last byte has come: it has
 // not run, unless the endpoint says otherwise in an answer ahead of that.
 func (u *upstream) unsent(c *conn, l *leash, m *Message, err error) (tuliprock.Result, Answer, bool, error) {
@@ -474,7 +480,7 @@
 		return l.unlessCanceled(tuliprock.ConnectFailed), Answer{}, false, err
 	}
 	if c.SetReadDeadline(time.Now().Add(lastAnswer)) == nil {
-		if a, _, early := c.readAnswer(m.Method, time.Now().Add(lastAnswer), u.passes); early == nil {
+		if a, _, early := c.readAnswer(u, m.Method, time.Now().Add(lastAnswer)); early == nil {
 			switch {
 			case a.Status == http.StatusOK && a.Rest == nil:
 				maps.DeleteFunc(a.Header, func(name string, _ []string) bool { return name != "Content-Type" })
@@ -494,6 +500,7 @@
 	errCaller     = errors.New("the caller's body broke off")
 	errClosed     = errors.New("the connection is closed")
 	errDeclined   = errors.New("it turned a request away")
+	errTooLong    = errors.New("the answer is longer than any may be")
 )
 
 func isUnavailable(status int) bool {
@@ -505,7 +512,7 @@
 
 // readAnswer reads an answer whole, or the beginning of one that is long or slow to come, and tells whether it is the connection's
 // last. What does not go on to the caller is read whole or not at all.
-func (c *conn) readAnswer(method string, deadline time.Time, passes func(status int) bool) (a Answer, last bool, err error) {
+func (c *conn) readAnswer(u *upstream, method string, deadline time.Time) (a Answer, last bool, err error) {
 	c.limit.N = MaxHead
 	if method != http.MethodHead {
 		if _, err := c.read.Peek(1); err != nil {
@@ -514,7 +521,7 @@
 		come, _ := c.read.Peek(c.read.Buffered())
 		if status, h, size, length, ok := head.Answer(come); ok {
 			_, _ = c.read.Discard(size) // it is there
-			return c.readBody(Answer{Status: status, Header: h}, int64(length), false, deadline, passes)
+			return c.readBody(Answer{Status: status, Header: h}, int64(length), false, deadline, u)
 		}
 	}
 	resp, err := c.readHead(method)
@@ -530,7 +537,7 @@
 	case length < 0:
 		length, last = framing.ToClose, true
 	}
-	return c.readBody(Answer{Status: resp.StatusCode, Header: resp.Header}, length, last, deadline, passes)
+	return c.readBody(Answer{Status: resp.StatusCode, Header: resp.Header}, length, last, deadline, u)
 }
 
 // readHead reads the head of an answer that is not of the plainest form.
@@ -546,14 +553,16 @@
 
 // readBody reads what stands behind a head. An answer whose length is not told is passed on from its first byte if its end
 // does not come at once: it may be long.
-func (c *conn) readBody(a Answer, length int64, last bool, deadline time.Time, passes func(status int) bool) (Answer, bool, error) {
+func (c *conn) readBody(a Answer, length int64, last bool, deadline time.Time, u *upstream) (Answer, bool, error) {
 	c.limit.N = math.MaxInt64
 	body := framing.NewBody(source{c}, length)
 	switch {
-	case !passes(a.Status) && (length > MaxBody || length < 0):
+	case !u.passes(a.Status) && (length > MaxBody || length < 0):
 		return a, true, nil
+	case length > u.longest():
+		return a, true, errTooLong
 	case length > MaxBody:
-		a.Length, a.Rest = length, &Stream{conn: c, body: body}
+		a.Length, a.Rest = length, u.stream(c, body, last)
 		return a, last, nil
 	case length >= 0:
 		a.Body = make([]byte, length)
@@ -575,7 +584,7 @@
 			break
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(deadline) {
-			a.Length, a.Rest = length, &Stream{conn: c, body: body}
+			a.Length, a.Rest = length, u.stream(c, body, last)
 			return a, last, nil
 		}
 		if err != nil {
@@ -583,7 +592,7 @@
 		}
 	}
 	if !body.Ended() {
-		a.Length, a.Rest = length, &Stream{conn: c, body: body}
+		a.Length, a.Rest = length, u.stream(c, body, last)
 	}
 	return a, last, nil
 }
--- a/internal/engine/upstream_test.go
+++ b/internal/engine/upstream_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -49,6 +50,7 @@
 		"half of the chunks":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n", tuliprock.Reset, false},
 		"no length":                {"HTTP/1.1 200 OK\r\n\r\nhi", tuliprock.OK, false},
 		"a long body of an error":  {"HTTP/1.1 500 Oh\r\nContent-Length: 70000\r\n\r\n" + strings.Repeat("x", 70000), tuliprock.Errored, true},
+		"a length that none has":   {head + "3000000000\r\n\r\nhi", tuliprock.Reset, true},
 		"a head without end":       {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 200000), tuliprock.Reset, true},
 		"noise":                    {"\x00\x01\r\n\r\n", tuliprock.Reset, true},
 	} {
@@ -68,6 +70,37 @@
 	}
 }
 
+// An answer of untold length may be one that never ends. It is passed on up to what an answer may have, and breaks off there; a relay
+// knows of no such bound.
+func TestAnEndlessAnswerBreaksOff(t *testing.T) {
+	for _, relay := range []bool{false, true} {
+		e := newEndpoint(t, func(nc net.Conn, _ *http.Request, _ int) bool {
+			io.WriteString(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+			chunk := []byte("100000\r\n" + strings.Repeat("x", 1<<20) + "\r\n")
+			for {
+				if _, err := nc.Write(chunk); err != nil {
+					return false
+				}
+			}
+		})
+		u := testUpstream(t, e.Addr)
+		u.relay = relay
+		result, a := u.attempt(within(patience), "a", get("/c"))
+		if result != tuliprock.OK || a.Rest == nil {
+			t.Fatalf("outcome %v, %d bytes and no more", result, len(a.Body))
+		}
+		var ended tuliprock.Result
+		a.Rest.over = func(r tuliprock.Result) { ended = r }
+		n, err := io.CopyN(io.Discard, a.Rest, MaxLong+1<<20)
+		if want := map[bool]error{false: errTooLong}[relay]; !errors.Is(err, want) {
+			t.Errorf("relay %v: after %d bytes %v", relay, n, err)
+		}
+		if a.Rest.Close(); !relay && (n > MaxLong || ended != tuliprock.Reset) {
+			t.Errorf("%d bytes passed, ended %v", n, ended)
+		}
+	}
+}
+
 func TestNoConnectionIsConnectFailed(t *testing.T) {
 	e := newEndpoint(t, says(served, true))
 	u := testUpstream(t, e.Addr)
--- a/internal/front/plain/body.go
+++ b/internal/front/plain/body.go
@@ -12,7 +12,6 @@
 )
 
 const (
-	mostBody     = 40 << 20                // bytes of a request's body; the platform's have up to 32 MB
 	paceLeast    = 48 << 10                // bytes a second that a body has to come at, on average
 	pauseMost    = 2200 * time.Millisecond // between two of its pieces
 	improperMost = 2800 * time.Millisecond // a peer that sends no whole request is owed an end within 3 s of connecting
@@ -112,7 +111,7 @@
 		return 0, b.err
 	}
 	n, err := b.body.Read(p)
-	if b.pace.got += int64(n); b.pace.got > mostBody {
+	if b.pace.got += int64(n); b.pace.got > engine.MaxLong {
 		err = errBodyTooLong
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
@@ -171,7 +170,7 @@
 	n := r.ContentLength
 	expects := r.Header.Get("Expect")
 	switch {
-	case n > mostBody:
+	case n > engine.MaxLong:
 		return nil, nil, nil, refusal(errBodyTooLong)
 	case expects != "" && expects != "100-continue":
 		return nil, nil, nil, improper(http.StatusExpectationFailed, "Expect: 100-continue is all that is known")
@@ -259,7 +258,7 @@
 
 // within is how long the rest of a body may take.
 func (u *upload) within() time.Duration {
-	left := int64(mostBody)
+	left := int64(engine.MaxLong)
 	if u.length >= 0 {
 		left = u.length
 	}
