A connection rests for 50 ms after an answer: what comes late on it is no other request's answer

An idle connection was used again at once, the latest first.

Cause: internal/engine/upstream.go, reserve, which took the connection used last however young; usable's look at the socket can't see what has not come yet. Nothing in the protocol ties an answer to its request but the connection, so the only remedy is to let the late bytes come first. Options.Settle is 50 ms in the sidecar, of which the protocol says that a second answer may come some milliseconds late, and 0 in the daemon.

A close while the connection rested says nothing of how long endpoints keep what is idle.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -105,6 +105,7 @@
 	ConnIdle    time.Duration // endpoints close a connection that has been idle for this long; 0: not told
 	DialTimeout time.Duration // a connection not made by then has failed; 0: not told
 	Conns       int           // connections open at once
+	Settle      time.Duration // for which a connection rests after an answer: a second one that comes late shows meanwhile
 	Relay       bool          // answers below 500 are the endpoint's own and go on whole; else only 200 does, with its type
 	Subscribe   func()        // asks the roster for all changes from now on; it must not block
 	Log         *slog.Logger
--- a/internal/engine/upstream.go
+++ b/internal/engine/upstream.go
@@ -50,6 +50,7 @@
 	mu          sync.Mutex
 	dialTimeout time.Duration
 	most        int           // connections open at once
+	settle      time.Duration // for which a connection rests after an answer
 	toldIdle    time.Duration // as the options say
 	idleFor     time.Duration // after which an idle connection is no longer used
 	open        int
@@ -95,7 +96,7 @@
 	if u.toldIdle != o.ConnIdle {
 		u.toldIdle, u.idleFor = o.ConnIdle, time.Duration(float64(o.ConnIdle)*idleShare)
 	}
-	u.dialTimeout, u.most = o.DialTimeout, o.Conns
+	u.dialTimeout, u.most, u.settle = o.DialTimeout, o.Conns, o.Settle
 }
 
 // limit sets how many connections may be open at once.
@@ -221,12 +222,14 @@
 
 // usable tells whether an idle connection may carry another request, and learns from one that its endpoint has closed.
 // Endpoints may close sooner than the settings say, and a request that crosses the close ends as a reset and may not be
-// sent again. So from the first close seen on, connections are used for half of the shortest such time only. u.mu is
-// held.
+// sent again. So from the first close seen on, connections are used for half of the shortest such time only. A close right
+// behind an answer says nothing of how long endpoints keep what is idle. u.mu is held.
 func (u *upstream) usable(c *conn, now time.Time) bool {
 	idle := now.Sub(c.idleAt)
 	if !c.quiet() {
-		u.idleFor = min(u.idleFor, max(idle/2, idleLeast))
+		if idle > u.settle+sweepEvery { // else it may have come while the connection rested
+			u.idleFor = min(u.idleFor, max(idle/2, idleLeast))
+		}
 		return false
 	}
 	return idle < u.idleFor
@@ -332,7 +335,8 @@
 // in use. That is no failure of the endpoint's and must not be reported as one.
 var errNotTried = errors.New("no connection could be tried")
 
-// reserve takes the idle connection used last, or the right to open one to the address returned, within the time returned.
+// reserve takes the idle connection used last of those that have rested, or the right to open one to the address returned,
+// within the time returned.
 func (u *upstream) reserve(id string) (p *pool, addr string, within time.Duration, c *conn, err error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -340,12 +344,14 @@
 	if p == nil {
 		return nil, "", 0, nil, errNotTried
 	}
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		c := p.idle[last]
-		p.idle[last] = nil
-		p.idle = p.idle[:last]
-		if u.usable(c, time.Now()) {
+	now := time.Now()
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if now.Sub(c.idleAt) < u.settle {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
+		if u.usable(c, now) {
 			return p, p.addr, 0, c, nil
 		}
 		u.closeLocked(c)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -22,6 +22,7 @@
 const (
 	otherDescriptors = 64                     // of the limit, for all but callers' and endpoints' connections
 	spareCallers     = 16                     // of them, for callers that have come before an idle one is closed
+	settle           = 50 * time.Millisecond  // a second answer may come some milliseconds late, and some connections are closed then
 	acceptAfterTerm  = 600 * time.Millisecond // new connections go on coming for a while after SIGTERM
 )
 
@@ -59,7 +60,7 @@
 	known := c.Known
 	known.Full = true // the list as it was last had, and the first that the module hears
 	e = engine.New(settings, known.Engine(), engine.Options{ConnIdle: c.Settings.ConnIdle, DialTimeout: c.Settings.DialTimeout,
-		Conns: each, Subscribe: d.Subscribe, Log: log})
+		Conns: each, Settle: settle, Subscribe: d.Subscribe, Log: log})
 
 	log.Info("listening", "addr", listener.Addr().String())
 	conns := plain.NewWaiting(listener, each, each+spareCallers)
