A last look before a request's first byte: list, operators, caller and connection as they are then

Cause: between the module's choice and the first byte lie the dial (up to the settings' time-out), the choice of an idle connection and locks, and nothing looked again (internal/engine/upstream.go: take, then attempt, then send). So a request went out to an endpoint that the list or the operators had taken out while its connection came up, to the old address of one that had moved, for a caller that had left, and on an idle connection that its endpoint had closed meanwhile; where the settings allow no cancel (Engine.leave and finish called off nothing), also after its final answer.

Change: upstream.ready is that look, directly before the write. An idle connection that its endpoint has done with gives way to another within the attempt, whatever the class: not a byte was sent. A call that is over withdraws what is not written whole, whether or not what runs may be called off (leash.withdraw). What was not sent is NotSent, of which the module now says what it says of failed connections: the next attempt is beside the budget, since nobody was asked for anything.

Ruled out: leash.hold already kept a connection that came up after its attempt was called off from being used.

--- a/balancer.go
+++ b/balancer.go
@@ -708,11 +708,11 @@
 	return ""
 }
 
-// free tells whether the attempt after one that has just ended is beside the budget, which guards against
-// endpoints that fail being asked ever more: a connection that was not made costs nobody anything, and a
-// trial is this balancer's own doing, and seldom.
+// free tells whether the attempt after one that has just ended is beside the budget, which is against asking
+// endpoints that fail ever more: what was not sent cost nobody anything, trials are this balancer's doing.
 func (b *Balancer) free(q *request, a *attempt, r Result) bool {
-	return len(q.attempts) <= freeMost && (r == ConnectFailed || a.trial && len(b.turns.list) > 0)
+	trial := a.trial && len(b.turns.list) > 0
+	return len(q.attempts) <= freeMost && (trial || r == ConnectFailed || r == NotSent)
 }
 
 // inTime tells whether an attempt sent now can still bring an answer that counts.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -60,6 +60,7 @@
 // Call is a request that a front has taken. NewCall makes one.
 type Call struct {
 	tuliprock.Request
+	Left    func() bool // tells whether the caller has left; nil: nobody knows. It must not block
 	message *Message
 	replies chan Reply    // takes the one final answer without blocking
 	work    chan *attempt // takes an attempt for the goroutine that waits in Do
@@ -204,6 +205,9 @@
 	result, answer := l.upstream.attempt(&a.leash, a.endpoint, a.call.message)
 	l.post(func(now time.Duration) {
 		a.call.waits = a.call.waits || inline && l.mayCall && !a.call.over
+		if result == tuliprock.NotSent && a.left != nil && a.left() { // then it goes nowhere else either
+			l.leave(now, a.call)
+		}
 		if answer.Rest != nil {
 			l.begin(now, a, answer)
 			return
@@ -416,20 +420,27 @@
 // leave reports that the caller of a request has gone.
 func (l *Engine) leave(now time.Duration, c *Call) {
 	if l.calls[c.ID] == c && !c.over {
-		c.over, c.waits = true, false
-		c.replies <- Reply{Kind: Failed}
+		l.end(c, Reply{Kind: Failed})
 		l.balancer.ClientLeft(now, c.ID)
 		l.forget(c)
 	}
 }
 
+// end makes a call over, with its one final answer. What of its attempts has not gone out stays here.
+func (l *Engine) end(c *Call, r Reply) {
+	c.over, c.waits = true, false
+	c.replies <- r
+	for _, a := range c.attempts {
+		a.withdraw()
+	}
+}
+
 // finish gives the final answer, once.
 func (l *Engine) finish(c *Call, r Reply) {
 	if c == nil || c.over {
 		return
 	}
-	c.over, c.waits = true, false
-	c.replies <- r
+	l.end(c, r)
 	l.forget(c)
 }
 
@@ -530,6 +541,7 @@
 	}
 	now := h.clock.now()
 	a := &attempt{call: c, n: len(c.attempts), endpoint: endpoint, sent: now}
+	a.left = c.Left
 	a.deadline = time.Now().Add(min(timeout, c.Deadline-now))
 	if c.Long {
 		a.written = func() { h.post(func(now time.Duration) { h.wrote(now, a) }) }
--- a/internal/engine/upstream.go
+++ b/internal/engine/upstream.go
@@ -44,6 +44,7 @@
 // upstream makes attempts over connections of its own. net/http's Transport is not used: it sends some requests
 // again by itself when a reused connection breaks, which is a second copy, and dials spare connections.
 type upstream struct {
+	connect func(ctx context.Context, network, addr string) (net.Conn, error)
 	relay   bool         // answers below 500 are passed on as they are
 	written atomic.Int64 // requests, whole
 
@@ -78,7 +79,7 @@
 }
 
 func newUpstream(o Options) *upstream {
-	u := &upstream{relay: o.Relay, pools: map[string]*pool{}}
+	u := &upstream{connect: (&net.Dialer{}).DialContext, relay: o.Relay, pools: map[string]*pool{}}
 	u.configure(o)
 	return u
 }
@@ -250,10 +251,12 @@
 // leash ends an attempt from outside: at its deadline, or when it is called off.
 type leash struct {
 	deadline time.Time
-	written  func() // is told when a long request has been written whole; nil: nobody asks
+	written  func()      // is told when a long request has been written whole; nil: nobody asks
+	left     func() bool // tells whether the caller has left; nil: nobody knows
 
 	mu     sync.Mutex
 	called bool      // off
+	whole  bool      // the request is written: it may run from now on
 	ends   io.Closer // what is under way: a dial, or an exchange on a connection
 }
 
@@ -261,12 +264,34 @@
 func (l *leash) cancel() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.callOff()
+}
+
+// withdraw calls the attempt off if its request is not written whole: nobody waits for an answer any more, and what has not
+// been asked for need not be, whether what runs may be called off or not.
+func (l *leash) withdraw() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.whole {
+		l.callOff()
+	}
+}
+
+// callOff ends what is under way. l.mu is held.
+func (l *leash) callOff() {
 	l.called = true
 	if l.ends != nil {
 		l.ends.Close()
 	}
 }
 
+// wrote notes that the request is written whole.
+func (l *leash) wrote() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.whole = true
+}
+
 // hold says what is under way, nil for nothing any more, and tells whether the attempt goes on.
 func (l *leash) hold(c io.Closer) bool {
 	l.mu.Lock()
@@ -307,7 +332,7 @@
 	defer cancelDial()
 	if l.hold(dial{cancelDial}) {
 		var nc net.Conn
-		if nc, err = (&net.Dialer{}).DialContext(ctx, "tcp", addr); err == nil {
+		if nc, err = u.connect(ctx, "tcp", addr); err == nil {
 			if c, err = newConn(nc, p, addr); err == nil {
 				return c, nil
 			}
@@ -331,8 +356,8 @@
 	return &conn{Conn: nc, raw: raw, limit: limit, read: bufio.NewReader(limit), pool: p, addr: addr}, nil
 }
 
-// errNotTried says that nothing was asked of the endpoint: no address is known, or all descriptors for connections are
-// in use. That is no failure of the endpoint's and must not be reported as one.
+// errNotTried says that nothing was asked of the endpoint: it is not listed for new work any more, or all descriptors for
+// connections are in use. That is no failure of the endpoint's and must not be reported as one.
 var errNotTried = errors.New("no connection could be tried")
 
 // reserve takes the idle connection used last of those that have rested, or the right to open one to the address returned,
@@ -341,7 +366,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	p = u.pools[id]
-	if p == nil {
+	if p == nil || !p.keep {
 		return nil, "", 0, nil, errNotTried
 	}
 	now := time.Now()
@@ -394,37 +419,62 @@
 // attempt sends a request once and tells by evidence how that ended. When it was called off or its time is over, the
 // connection is closed before attempt returns: no second attempt can be out beside this one.
 func (u *upstream) attempt(l *leash, id string, m *Message) (tuliprock.Result, Answer) {
-	c, err := u.take(l, id)
-	if errors.Is(err, errNotTried) {
-		return tuliprock.NotSent, Answer{}
-	}
-	if err != nil {
-		if !l.canceled() {
+	for {
+		c, err := u.take(l, id)
+		if errors.Is(err, errNotTried) {
+			return tuliprock.NotSent, Answer{}
+		}
+		if err != nil {
+			if !l.canceled() {
+				u.failed(id, err)
+			}
+			return l.unlessCanceled(tuliprock.ConnectFailed), Answer{}
+		}
+		if !l.hold(c) || c.SetDeadline(l.deadline) != nil {
+			u.discard(c)
+			return l.unlessCanceled(tuliprock.ConnectFailed), Answer{}
+		}
+		used := !c.idleAt.IsZero()
+		result, a, reusable, err := u.exchange(c, l, m)
+		if errors.Is(err, errBegun) && used && l.hold(nil) { // its endpoint has done with it: nothing was asked, another one will do
+			u.discard(c)
+			continue
+		}
+		if err != nil && result != tuliprock.Canceled && result != tuliprock.NotSent {
 			u.failed(id, err)
 		}
-		return l.unlessCanceled(tuliprock.ConnectFailed), Answer{}
-	}
-	if !l.hold(c) || c.SetDeadline(l.deadline) != nil {
-		u.discard(c)
-		return l.unlessCanceled(tuliprock.ConnectFailed), Answer{}
-	}
-	result, a, reusable, err := u.exchange(c, l, m)
-	if err != nil && result != tuliprock.Canceled {
-		u.failed(id, err)
-	}
-	held := l.hold(nil)
-	switch {
-	case held && a.Rest != nil: // the connection is the stream's
+		held := l.hold(nil)
+		switch {
+		case held && a.Rest != nil: // the connection is the stream's
+			return result, a
+		case held && reusable:
+			u.giveBack(c)
+		default:
+			u.discard(c)
+		}
+		if a.Rest != nil {
+			return tuliprock.Canceled, Answer{}
+		}
 		return result, a
-	case held && reusable:
-		u.giveBack(c)
-	default:
-		u.discard(c)
 	}
-	if a.Rest != nil {
-		return tuliprock.Canceled, Answer{}
+}
+
+// ready tells whether a request may go out on a connection now, or why not. It is the last look before the first byte: while the
+// connection came up, the list or the operators may have taken its endpoint out, the endpoint may have closed or begun to talk,
+// and the caller may have left. What goes out from here on was right when it did.
+func (u *upstream) ready(c *conn, l *leash) error {
+	u.mu.Lock()
+	wanted := c.pool.keep && c.pool.addr == c.addr
+	u.mu.Unlock()
+	switch {
+	case !wanted:
+		return errUnwanted
+	case l.left != nil && l.left():
+		return errLeft
+	case !c.quiet():
+		return errBegun
 	}
-	return result, a
+	return nil
 }
 
 // broken is the outcome of an attempt whose last byte was written and whose whole answer has not come.
@@ -437,9 +487,13 @@
 
 // exchange writes the request and reads the answer, whole or, where it is long, its beginning.
 func (u *upstream) exchange(c *conn, l *leash, m *Message) (r tuliprock.Result, a Answer, reusable bool, err error) {
+	if err := u.ready(c, l); err != nil {
+		return l.unready(err), Answer{}, false, err
+	}
 	if err := c.send(l, m); err != nil {
 		return u.unsent(c, l, m, err)
 	}
+	l.wrote()
 	u.written.Add(1)
 	if m.Upload != nil && l.written != nil {
 		l.written()
@@ -468,6 +522,14 @@
 	return status == http.StatusOK || u.relay && status < http.StatusInternalServerError
 }
 
+// unready tells how an attempt ended of which not a byte went out.
+func (l *leash) unready(err error) tuliprock.Result {
+	if errors.Is(err, errBegun) { // a new connection that breaks at once, or on which an answer stands that was not asked for
+		return l.unlessCanceled(tuliprock.ConnectFailed)
+	}
+	return l.unlessCanceled(tuliprock.NotSent)
+}
+
 // longest is how many bytes an answer's body may have. What a relay passes on has no bound that an engine knows of.
 func (u *upstream) longest() int64 {
 	if u.relay {
@@ -501,6 +563,9 @@
 }
 
 var (
+	errUnwanted   = errors.New("the endpoint was taken out before anything was sent")
+	errLeft       = errors.New("the caller left before anything was sent")
+	errBegun      = errors.New("the connection was closed or written to before anything was sent")
 	errNotWritten = errors.New("the connection broke before the request was written whole")
 	errEarly      = errors.New("something came before the request was written whole")
 	errCaller     = errors.New("the caller's body broke off")
