A caller that leaves is seen in every wait, also behind bytes sent ahead and while reading is paused

Cause: the look-out waited for the connection to be readable and peeked (internal/front/plain/serve.go, gone): bytes sent ahead made it readable for good and hid the end behind them, and the look-out ended there; none ran while a long body was still to come (more.whole started it), since it holds the lock of reads. After a leave the next request on the connection was read and sent.

Change: lookout asks the kernel for the state of the connection (TCP_INFO) every 100 ms and reads nothing, so it runs in every wait and beside every read; engine.Call.Left asks the same directly before each attempt's first byte, so that what was waited for cannot be sent in between. It no longer sets read deadlines nor keeps a goroutine for each request that waits. A connection whose caller was seen to leave ends with the answer; a request that was sent ahead gets the look however young it is.

Not seen: the end behind more unread bytes than the kernel's buffer takes (131072 here), which has not arrived.

--- a/internal/front/plain/body.go
+++ b/internal/front/plain/body.go
@@ -49,9 +49,8 @@
 
 // incoming is the body of the request that is being served, as it comes off the connection.
 type incoming struct {
-	in    *reader
-	body  *framing.Body
-	whole func() // is told when it has been read to its end; nil: nobody asks
+	in   *reader
+	body *framing.Body
 
 	mu      sync.Mutex // held by a read
 	pace    pace
@@ -118,10 +117,6 @@
 		b.err = err
 		return 0, err
 	}
-	if b.body.Ended() && b.whole != nil {
-		b.whole()
-		b.whole = nil
-	}
 	return n, err
 }
 
--- a/internal/front/plain/serve.go
+++ b/internal/front/plain/serve.go
@@ -9,9 +9,7 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"tuliprock/internal/engine"
@@ -23,7 +21,6 @@
 	acceptPauseMost  = time.Second
 	keepBuffer       = time.Second            // that an idle connection keeps its buffer
 	writeSlack       = time.Second            // a deadline of writes this young is kept for the next
-	watchAfter       = 3 * time.Millisecond   // an answer that takes longer is worth a look whether its caller has left
 	lastWords        = 500 * time.Millisecond // for an error to be read before its connection is closed
 	lastRead         = 256 << 10              // bytes of what a refused caller goes on sending that are read meanwhile
 )
@@ -54,8 +51,9 @@
 	conn *callerConn
 	in   reader
 	out  []byte // an answer
-	look watch
+	look lookout
 	came time.Time // the connection, or the first byte of its latest request
+	late bool      // that request was sent ahead, and may have stood unread for any time
 
 	writesFrom time.Time // when the deadline of writes was set
 }
@@ -94,7 +92,7 @@
 
 // await waits for the next request. One that is long in coming costs the connection its buffer: idle connections are many.
 func (t *talk) await() bool {
-	if t.in.start < t.in.end {
+	if t.late = t.in.start < t.in.end; t.late {
 		return true
 	}
 	if t.conn.SetReadDeadline(after(keepBuffer)) != nil {
@@ -173,13 +171,14 @@
 		f.Close = f.Close || more != nil
 		return t.refuse(r, f)
 	}
+	late := t.late
+	c.Left = func() bool { return (late || time.Since(arrived) > fresh) && t.look.gone() }
 	leave := func() { v.Engine.Leave(c) }
 	if more == nil {
 		taken = true
 		t.look.start(leave)
 		reply = v.Engine.Do(c)
-		t.look.stop()
-		return t.answer(r, reply, false) // also where the caller seems to have left: one half-closed may still read
+		return t.answer(r, reply, t.look.stop()) // also to a caller that has left: one half-closed may still read
 	}
 
 	up, err := more.keep()
@@ -192,14 +191,15 @@
 	c.Deadline = v.Engine.Now() + m.Wait
 	if up.Rest != nil {
 		c.Deadline += more.within()
-		more.whole = func() { t.look.start(leave) }
-	} else {
-		t.look.start(leave)
 	}
 	taken = true
+	t.look.start(leave)
 	reply = v.Engine.Do(c)
+	left := t.look.stop()
 	ended, err := more.drop()
-	t.look.stop()
+	if err == nil && !ended && t.look.gone() { // nobody is there to send the rest of it
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil && !errors.Is(err, errDropped) {
 		reply.Kind = engine.Failed
 		return t.refuse(r, refusal(err))
@@ -208,7 +208,7 @@
 		t.answer(r, reply, true)
 		return t.linger()
 	}
-	return t.answer(r, reply, false)
+	return t.answer(r, reply, left)
 }
 
 // refuse answers a request that nobody serves. What is no proper request ends its connection: whatever follows on it, the
@@ -410,89 +410,3 @@
 	}
 	return err == nil && !end
 }
-
-// watch is a look-out for a caller that leaves before its answer is there. It serves one request after the other.
-type watch struct {
-	conn  net.Conn
-	raw   syscall.Conn // nil: there is no way to look
-	timer *time.Timer
-
-	mu    sync.Mutex
-	over  bool
-	leave func()
-	ended chan struct{} // closed when the look-out that began has ended; nil: none began
-}
-
-// of says whose caller is looked out for.
-func (w *watch) of(c net.Conn) {
-	w.conn = c
-	w.raw, _ = c.(syscall.Conn)
-}
-
-// start calls leave when the caller ends its side of the connection. It begins after a while: most answers come before, and
-// a look-out costs a goroutine.
-func (w *watch) start(leave func()) {
-	if w.raw == nil {
-		return
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.over, w.leave, w.ended = false, leave, nil
-	if w.timer == nil {
-		w.timer = time.AfterFunc(watchAfter, w.begin)
-		return
-	}
-	w.timer.Reset(watchAfter)
-}
-
-// begin looks out. The timer of a request before may call it late: then this request's look-out begins early.
-func (w *watch) begin() {
-	w.mu.Lock()
-	if w.over || w.ended != nil {
-		w.mu.Unlock()
-		return
-	}
-	_ = w.conn.SetReadDeadline(time.Time{}) // of one that is closed already the look-out tells
-	leave, ended := w.leave, make(chan struct{})
-	w.ended = ended
-	w.mu.Unlock()
-	defer close(ended)
-	if gone(w.raw) {
-		leave()
-	}
-}
-
-// stop ends the look-out.
-func (w *watch) stop() {
-	if w.raw == nil || w.timer == nil {
-		return
-	}
-	w.timer.Stop()
-	w.mu.Lock()
-	w.over, w.leave = true, nil
-	ended := w.ended
-	w.mu.Unlock()
-	if ended != nil {
-		_ = w.conn.SetReadDeadline(time.Unix(1, 0)) // the next read sets its own
-		<-ended
-	}
-}
-
-// gone waits until something comes on a connection, and tells whether that was its end. It reads nothing.
-func gone(c syscall.Conn) bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	left := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		if errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) {
-			return false
-		}
-		left = err != nil || n == 0
-		return true
-	})
-	return left || errors.Is(err, net.ErrClosed) // cut off at the end of the daemon's time
-}
--- /dev/null
+++ b/internal/sidecar/leave_test.go
@@ -0,0 +1,312 @@
+package sidecar
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"tuliprock/internal/engine"
+	"tuliprock/internal/upgrade"
+)
+
+// patientSettings let requests wait for as long as a test takes.
+const patientSettings = `{"Lanes":[{"Name":"look","Semantics":"read_like","OnTimeUs":60000000},
+	{"Name":"pay","Semantics":"non_idempotent","OnTimeUs":60000000}],
+	"Permissions":{"MayCancel":%v,"TryLimit":4,"DialTimeoutUs":15000000},
+	"Rules":{"ColdUs":60000000,"ColdFrom":0.1,"ColdShare":0.000001}}`
+
+// fullAt is how many requests fill one endpoint for one sidecar before anything is known.
+const fullAt = 6
+
+// box is an endpoint that notes each request from its head on. Those whose names begin so wait for release.
+type box struct {
+	net.Listener
+	hangs   string
+	breaks  bool // then it does not answer these
+	release chan bool
+
+	mu  sync.Mutex
+	ids []string
+}
+
+func newBox(t *testing.T, l net.Listener) *box {
+	t.Helper()
+	if l == nil {
+		var err error
+		if l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b := &box{Listener: l, hangs: "hang", release: make(chan bool)}
+	t.Cleanup(func() { l.Close() })
+	return b
+}
+
+func (b *box) addr() string { return b.Addr().String() }
+
+// open begins to accept.
+func (b *box) open() *box {
+	go func() {
+		for {
+			nc, err := b.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(nc)
+		}
+	}()
+	return b
+}
+
+func (b *box) serve(nc net.Conn) {
+	defer nc.Close()
+	in := bufio.NewReader(nc)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		id := r.Header.Get("Req-Id")
+		b.mu.Lock()
+		b.ids = append(b.ids, id)
+		b.mu.Unlock()
+		hangs := strings.HasPrefix(id, b.hangs)
+		if hangs {
+			<-b.release
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil || hangs && b.breaks {
+			return
+		}
+		io.WriteString(nc, served)
+	}
+}
+
+// came gives the ids of the requests of which anything has come.
+func (b *box) came() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.ids)
+}
+
+// caller is a client's connection.
+type caller struct {
+	*net.TCPConn
+	id string
+}
+
+// calls sends text on a new connection, ID in it standing for the caller's own.
+func (s *running) calls(t *testing.T, id, text string) *caller {
+	t.Helper()
+	nc, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(patience)) // a bound, not a verdict
+	if _, err := io.WriteString(nc, strings.ReplaceAll(text, "ID", id)); err != nil {
+		t.Fatal(err)
+	}
+	return &caller{nc.(*net.TCPConn), id}
+}
+
+// isServed reads an answer.
+func (c *caller) isServed(t *testing.T) {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("%s, which stays, is answered %v, %v", c.id, resp, err)
+	}
+}
+
+const (
+	look  = "GET /look HTTP/1.1\r\nHost: h\r\nReq-Id: ID\r\nReq-Deadline-Ms: 600000\r\n\r\n"
+	ahead = "GET /look HTTP/1.1\r\nHost: h\r\nReq-Id: ID-next\r\nReq-Deadline-Ms: 600000\r\n\r\n"
+)
+
+// long is a request whose body is still coming: some of it stands unread while the request waits.
+var long = "POST /pay HTTP/1.1\r\nHost: h\r\nReq-Id: ID\r\nReq-Deadline-Ms: 600000\r\nContent-Length: 8388608\r\n\r\n" +
+	strings.Repeat("x", 64<<10+10<<10)
+
+// leavings are the ways in which a client leaves.
+var leavings = map[string]func(c *caller){
+	"fin":              func(c *caller) { c.Close() },
+	"rst":              func(c *caller) { c.SetLinger(0); c.Close() },
+	"half":             func(c *caller) { c.CloseWrite() },
+	"fin behind bytes": func(c *caller) { io.WriteString(c, strings.ReplaceAll(ahead, "ID", c.id)); c.Close() },
+	"rst behind bytes": func(c *caller) { io.WriteString(c, strings.ReplaceAll(ahead, "ID", c.id)); c.SetLinger(0); c.Close() },
+}
+
+// concurrent waits for a number of requests that are taken and not ended.
+func (s *running) concurrent(t *testing.T, want int) {
+	t.Helper()
+	until(t, fmt.Sprint(want, " requests are under way"), func() bool { return s.figure(t, "sidecar_concurrent") == want })
+}
+
+// wait is something that requests wait for.
+type wait struct {
+	*running
+	box    *box
+	text   string   // of the requests; empty: look
+	other  int      // requests under way beside them
+	ways   []string // of leaving; none: all
+	during func(t *testing.T, waiting int)
+	over   func(t *testing.T) // ends it
+}
+
+// forRoom is a wait for room at one endpoint.
+func forRoom(t *testing.T, u setup, mayCancel bool) wait {
+	b := newBox(t, nil).open()
+	u.settings, u.known = fmt.Sprintf(patientSettings, mayCancel), []string{member("a", b.addr(), "Ready")}
+	s := u.run(t)
+	for i := range fullAt {
+		s.calls(t, fmt.Sprint("hang", i), look)
+	}
+	s.concurrent(t, fullAt)
+	return wait{running: s, box: b, other: fullAt, over: func(*testing.T) { close(b.release) }}
+}
+
+// forConnection is a wait for a connection to come up, at the last of the endpoints.
+func forConnection(t *testing.T, mayCancel bool, before ...string) wait {
+	b := unaccepting(t)
+	u := setup{settings: fmt.Sprintf(patientSettings, mayCancel), known: []string{member("z", b.addr(), "Ready")}}
+	for i, addr := range before {
+		u.known = append(u.known, member(fmt.Sprint("a", i), addr, "Ready"))
+	}
+	return wait{running: u.run(t), box: b, over: func(*testing.T) { b.open() }}
+}
+
+// waits are all that a request may wait for.
+var waits = map[string]func(t *testing.T) wait{
+	"room":                                  func(t *testing.T) wait { return forRoom(t, setup{}, true) },
+	"room, where nothing may be called off": func(t *testing.T) wait { return forRoom(t, setup{}, false) },
+	"a connection":                          func(t *testing.T) wait { return forConnection(t, true) },
+	"a connection, nothing may be called off": func(t *testing.T) wait { return forConnection(t, false) },
+	"the connection of a resend": func(t *testing.T) wait {
+		refuses := newBox(t, nil)
+		refuses.Close()
+		return forConnection(t, true, refuses.addr())
+	},
+	"room, the body still coming and not read": func(t *testing.T) wait {
+		w := forRoom(t, setup{limits: `{"memory_mb":32}`}, true)
+		w.text, w.ways = long, []string{"fin", "rst", "half"} // the rest of the body stands before its end in any case
+		return w
+	},
+	"the first list": func(t *testing.T) wait {
+		b := newBox(t, nil).open()
+		s := setup{settings: fmt.Sprintf(patientSettings, true)}.run(t)
+		return wait{running: s, box: b, over: func(t *testing.T) { s.tell(t, members(2, true, member("a", b.addr(), "Ready"))) }}
+	},
+	"a resend": func(t *testing.T) wait {
+		a, b := newBox(t, nil).open(), newBox(t, nil).open()
+		a.hangs, a.breaks = "", true
+		s := setup{settings: fmt.Sprintf(patientSettings, true), known: []string{member("a", a.addr(), "Ready")}}.run(t)
+		return wait{running: s, box: b, ways: []string{"fin", "rst", "fin behind bytes"}, // no more than the budget of resends allows
+			during: func(t *testing.T, waiting int) {
+				until(t, "all are at the first endpoint", func() bool { return len(a.came()) == waiting })
+				cold := strings.Replace(member("cold", b.addr(), "Ready"), `"started_ms":0`, fmt.Sprintf(`"started_ms":%d`, time.Now().UnixMilli()), 1)
+				s.tell(t, members(2, true, member("a", a.addr(), "Terminating"), cold))
+				close(a.release)
+				until(t, "all have failed there", func() bool {
+					return !slices.ContainsFunc(s.engine.Endpoints(), func(e engine.Endpoint) bool { return e.InFlight > 0 })
+				})
+			},
+			over: func(t *testing.T) { s.tell(t, members(3, false, member("warm", b.addr(), "Ready"))) }}
+	},
+	"room, SIGTERM has come": func(t *testing.T) wait {
+		w := forRoom(t, setup{}, true)
+		w.during = func(*testing.T, int) { w.term() }
+		return w
+	},
+	"room, a successor serves": func(t *testing.T) wait {
+		temp := t.TempDir()
+		w := forRoom(t, setup{temp: temp}, true)
+		w.during = func(t *testing.T, _ int) {
+			folder, err := upgrade.Open(temp, "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			successor, err := folder.Enter(time.Now())
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(successor.Leave)
+			if err := successor.Serve(); err != nil {
+				t.Fatal(err)
+			}
+			until(t, "the successor is seen", func() bool { w.shift.mu.Lock(); defer w.shift.mu.Unlock(); return w.shift.succeeded })
+		}
+		return w
+	},
+}
+
+// Whatever a request waits for when its client leaves: nothing is sent for it any more, though the wait ends. Nor is a client that
+// stays taken for gone, also one that has sent bytes ahead.
+func TestNothingIsSentForACallerThatLeft(t *testing.T) {
+	for name, begin := range waits {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := begin(t)
+			var leave []func()
+			for way, does := range leavings {
+				if len(w.ways) > 0 && !slices.Contains(w.ways, way) {
+					continue
+				}
+				c := w.calls(t, "leaves by "+way, cmp.Or(w.text, look))
+				leave = append(leave, func() { does(c) })
+			}
+			stays := w.calls(t, "stays", look+ahead)
+			w.concurrent(t, w.other+len(leave)+1)
+			if w.during != nil {
+				w.during(t, len(leave)+1)
+			}
+			for _, does := range leave {
+				does()
+			}
+			w.concurrent(t, w.other+1) // all have been looked at, the one that stays as well
+			w.over(t)
+			stays.isServed(t)
+			w.concurrent(t, 0)
+			for _, id := range w.box.came() {
+				if strings.HasPrefix(id, "leaves") {
+					t.Errorf("the request that %s was sent on", id)
+				}
+			}
+		})
+	}
+}
+
+// unaccepting is an endpoint whose connections do not come up until it opens: its queue is full.
+func unaccepting(t *testing.T) *box {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	l, err := upgrade.Listener(strconv.Itoa(fd))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := newBox(t, l)
+	nc, err := net.Dial("tcp", b.addr()) // the one that there is a place for
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	return b
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -39,14 +40,27 @@
 
 func runWithin(t *testing.T, limits string, addrs ...string) *running {
 	t.Helper()
-	silent := httptest.NewServer(&testpeer.Script{Calls: make(chan string, 100)})
 	var list []string
 	for i, addr := range addrs {
 		list = append(list, member(string(rune('a'+i)), addr, "Ready"))
 	}
+	return setup{limits: limits, known: list}.run(t)
+}
+
+// setup is what a sidecar is started with, where something else is wanted than run gives.
+type setup struct {
+	limits   string
+	settings string // instead of laneSettings
+	known    []string
+	temp     string
+}
+
+func (u setup) run(t *testing.T) *running {
+	t.Helper()
+	silent := httptest.NewServer(&testpeer.Script{Calls: make(chan string, 100)})
 	text := fmt.Sprintf(`{"listen":"127.0.0.1:0","console":"127.0.0.1:0","discovery":%q,"seed":"7","limits":%s,"known":%s,"settings":%s}`,
-		silent.Listener.Addr(), limits, members(1, true, list...), laneSettings)
-	c, err := parseConfig([]byte(text), noEnv)
+		silent.Listener.Addr(), cmp.Or(u.limits, "{}"), members(1, true, u.known...), cmp.Or(u.settings, laneSettings))
+	c, err := parseConfig([]byte(text), func(name string) string { return map[string]string{"TMPDIR": u.temp}[name] })
 	if err != nil {
 		t.Fatal(err)
 	}
