All that was taken is answered before SIGKILL can come, whatever the deadlines

Cause: after SIGTERM requests ended by their own deadlines only (internal/sidecar/sidecar.go, drain: "there is no limit of time"), and a new connection could bring its first request up to 2 s later, with all of its time still before it.

Change: the longest deadline comes from the settings (HardLimitUs). At SIGTERM the engine is told the instant by which answers are due, 0.1 s before the kill; the module hears it as Shorten and gives up on what would wait longer in the way that it always does. What is open 50 ms before the kill is closed. An answer that ends with its connection is cut off by a reset now whoever ends it, also SIGKILL: the connection lingers for 0 s until the answer is whole.

--- a/index.go
+++ b/index.go
@@ -281,6 +281,16 @@
 	}
 }
 
+// Shorten reports that no answer will be of use after an instant: requests that would wait for longer do not.
+func (b *Balancer) Shorten(now, by time.Duration) {
+	for _, q := range b.live {
+		if q.Deadline > by {
+			q.Deadline, q.giveUp = by, by-max(b.s.Resolution, time.Millisecond)
+			b.wakeAt(max(b.lookAt(q), now))
+		}
+	}
+}
+
 // load says whether an attempt takes room. Room is for what makes endpoints slow: what a caller takes to send or to read is not.
 func (b *Balancer) load(a *attempt, on bool) {
 	switch {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -339,7 +339,7 @@
 	var all errgroup.Group
 	for _, l := range listeners {
 		l.front.End()
-		all.Go(func() error { return ignoreClosed(l.conns.Finish(0)) })
+		all.Go(func() error { return ignoreClosed(l.conns.Finish(0, time.Time{})) })
 	}
 	var err error
 	go func() { err = all.Wait(); close(finished) }()
--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -167,7 +167,7 @@
 func (d *Daemon) end(l *listener) {
 	l.front.End()
 	d.parts.Go(func() error {
-		err := ignoreClosed(l.conns.Finish(0))
+		err := ignoreClosed(l.conns.Finish(0, time.Time{}))
 		d.mu.Lock()
 		d.listeners = slices.DeleteFunc(d.listeners, func(o *listener) bool { return o == l })
 		d.mu.Unlock()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -130,6 +130,7 @@
 	alarm    *time.Timer
 	rings    time.Duration // when the alarm is set to
 	ended    bool
+	endBy    time.Duration // final answers are due by then; 0: when calls say so
 	calls    map[string]*Call
 	taken    recent // ids of requests, answered ones included
 	members  map[string]Member
@@ -188,6 +189,14 @@
 	}
 }
 
+// EndBy makes all calls have their final answers by an instant, those that are still to come as well: the process has to end.
+func (l *Engine) EndBy(at time.Duration) {
+	l.post(func(now time.Duration) {
+		l.endBy = at
+		l.module.Shorten(now, at)
+	})
+}
+
 // Leave reports that the caller of a request that is being served has gone.
 func (l *Engine) Leave(c *Call) { l.post(func(now time.Duration) { l.leave(now, c) }) }
 
@@ -412,6 +421,9 @@
 		c.replies <- Reply{Kind: Duplicate}
 		return
 	}
+	if l.endBy > 0 {
+		c.Deadline = min(c.Deadline, l.endBy)
+	}
 	l.calls[c.ID] = c
 	c.waits = l.mayCall
 	l.balancer.Request(now, c.Request)
--- a/internal/front/plain/conns.go
+++ b/internal/front/plain/conns.go
@@ -287,14 +287,18 @@
 
 // Finish closes the listener, retires what is idle and returns when all connections have ended, each with its last
 // request answered. Connections that were busy within the time given stay for their next request, but not for much longer
-// than that: its answer closes them, which no request can cross.
-func (l *Conns) Finish(lately time.Duration) error {
+// than that: its answer closes them, which no request can cross. What is still open at the instant given is closed, whatever it
+// is at; zero: it stays.
+func (l *Conns) Finish(lately time.Duration, by time.Time) error {
 	err := l.Close()
 	began := time.Now()
 	for {
 		if time.Since(began) > linger*lately {
 			lately = 0
 		}
+		if !by.IsZero() && time.Now().After(by) {
+			l.Abort()
+		}
 		if l.retireIdle(lately) == 0 {
 			break
 		}
--- a/internal/front/plain/head_test.go
+++ b/internal/front/plain/head_test.go
@@ -163,7 +163,7 @@
 	go func() { served <- s.Serve(conns) }()
 	t.Cleanup(func() {
 		s.End()
-		conns.Finish(0)
+		conns.Finish(0, time.Time{})
 		if err := <-served; !errors.Is(err, net.ErrClosed) {
 			t.Error(err)
 		}
--- a/internal/front/plain/serve.go
+++ b/internal/front/plain/serve.go
@@ -259,7 +259,11 @@
 	defer a.Rest.Close()
 	end = end || r.Close || t.ending.Load()
 	chunked := a.Length < 0 && r.ProtoAtLeast(1, 1)
-	end = end || a.Length < 0 && !chunked // it ends with the connection
+	toClose := a.Length < 0 && !chunked // it ends with the connection
+	end = end || toClose
+	if toClose { // only a reset shows that it broke off, whoever ends it: an endpoint, the end of the process or a signal
+		t.setLinger(0)
+	}
 	t.head(r, a.Status, a.Header, end)
 	switch {
 	case chunked:
@@ -290,6 +294,9 @@
 			return false
 		}
 		if t.out = t.out[:0]; ended {
+			if toClose {
+				t.setLinger(-1)
+			}
 			return !end
 		}
 		if n = copy(room, more); n > 0 {
@@ -299,7 +306,6 @@
 		var err error
 		n, err = a.Rest.Read(room)
 		if ended = errors.Is(err, io.EOF) || a.Rest.Ended(); err != nil && !ended {
-			t.abort(chunked || a.Length >= 0)
 			return false
 		}
 	}
@@ -318,10 +324,10 @@
 	return err == nil
 }
 
-// abort ends a connection in the middle of an answer. Where the answer ends with its connection, only a reset shows that it is broken.
-func (t *talk) abort(told bool) {
-	if c, ok := t.conn.Conn.(*net.TCPConn); ok && !told {
-		_ = c.SetLinger(0)
+// setLinger makes the end of the connection a reset (0) or an ordinary end (-1).
+func (t *talk) setLinger(seconds int) {
+	if c, ok := t.conn.Conn.(*net.TCPConn); ok {
+		_ = c.SetLinger(seconds) // of one that is closed the next write tells
 	}
 }
 
--- a/internal/front/plain/server.go
+++ b/internal/front/plain/server.go
@@ -98,6 +98,9 @@
 // End makes answers close their connections from now on.
 func (s *Server) End() { s.ending.Store(true) }
 
+// Ending tells whether answers do.
+func (s *Server) Ending() bool { return s.ending.Load() }
+
 // Continue undoes End.
 func (s *Server) Continue() { s.ending.Store(false) }
 
--- a/internal/sidecar/leave_test.go
+++ b/internal/sidecar/leave_test.go
@@ -119,12 +119,21 @@
 	return &caller{nc.(*net.TCPConn), id}
 }
 
-// isServed reads an answer.
-func (c *caller) isServed(t *testing.T) {
+// answer reads one.
+func (c *caller) answer(t *testing.T) *http.Response {
 	t.Helper()
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil || resp.StatusCode != http.StatusOK {
-		t.Errorf("%s, which stays, is answered %v, %v", c.id, resp, err)
+	if err != nil {
+		t.Errorf("%s has no answer: %v", c.id, err)
+		return &http.Response{}
+	}
+	return resp
+}
+
+func (c *caller) isServed(t *testing.T) {
+	t.Helper()
+	if resp := c.answer(t); resp.StatusCode != http.StatusOK {
+		t.Errorf("%s, which stays, is answered %d", c.id, resp.StatusCode)
 	}
 }
 
@@ -137,6 +146,9 @@
 var long = "POST /pay HTTP/1.1\r\nHost: h\r\nReq-Id: ID\r\nReq-Deadline-Ms: 600000\r\nContent-Length: 8388608\r\n\r\n" +
 	strings.Repeat("x", 64<<10+10<<10)
 
+// submit is a request that must not run twice.
+const submit = "POST /pay HTTP/1.1\r\nHost: h\r\nReq-Id: ID\r\nReq-Deadline-Ms: 600000\r\nContent-Length: 2\r\n\r\nhi"
+
 // leavings are the ways in which a client leaves.
 var leavings = map[string]func(c *caller){
 	"fin":              func(c *caller) { c.Close() },
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -22,8 +23,12 @@
 const (
 	otherDescriptors = 64                     // of the limit, for all but callers' and endpoints' connections
 	spareCallers     = 16                     // of them, for callers that have come before an idle one is closed
-	settle           = 50 * time.Millisecond  // a second answer may come some milliseconds late, and some connections are closed then
+	settle           = 20 * time.Millisecond  // a second answer may come some milliseconds late, 6 at most so far; some closes come then
 	acceptAfterTerm  = 600 * time.Millisecond // new connections go on coming for a while after SIGTERM
+	killLeast        = 700 * time.Millisecond // SIGKILL comes no sooner after SIGTERM than this and the longest deadline,
+	killDeadline     = 3 * time.Second        // which counts as this where it is longer
+	answersBefore    = 100 * time.Millisecond // the last answers go out so long before it,
+	closedBefore     = 50 * time.Millisecond  // and what is still open is closed
 )
 
 // Sidecar is a sidecar that listens.
@@ -36,6 +41,7 @@
 	figures   *figures.Figures
 	welcome   *welcome
 	shift     *shift
+	kill      time.Duration // after SIGTERM SIGKILL comes no sooner
 }
 
 // Start wires the parts and opens the listeners; Serve does the work.
@@ -74,6 +80,7 @@
 	at.figures = figures.New(names)
 	o := &operator{engine: e, figures: at.figures, welcome: w, log: log, out: map[string]bool{}}
 	s := &Sidecar{callers: plain.New(at, "tuliprock", c.Listen, log), conns: conns, engine: e, discovery: d, figures: at.figures, welcome: w}
+	s.kill = killAfter(c)
 	s.shift = &shift{limits: c.Limits, engine: e, callers: s.callers, conns: conns, operator: o, log: log}
 	if c.Console == "" && c.AcceptFD == "" {
 		c.Temp = "" // nobody bans, and nobody takes over
@@ -86,6 +93,11 @@
 	return s, nil
 }
 
+// killAfter is how soon after SIGTERM SIGKILL may come.
+func killAfter(c Config) time.Duration {
+	return min(cmp.Or(c.Settings.Longest, killDeadline), killDeadline) + killLeast
+}
+
 // listen opens the listener for callers, or takes the one that the platform holds.
 func listen(c Config) (net.Listener, error) {
 	if c.AcceptFD != "" {
@@ -145,16 +157,18 @@
 }
 
 // drain ends the callers' side. It guards against losing what the kernel has accepted: unless a successor takes it, for a
-// while new connections are taken as before; then answers say Connection: close, and idle connections are closed. There is no
-// limit of time: requests end by their deadlines, and the front closes connections that bring none.
+// while new connections are taken as before; then answers say Connection: close, and idle connections are closed. All of it ends
+// before SIGKILL can come: requests whose deadlines are later are given up on, and connections that bring none by then are closed.
 func (s *Sidecar) drain(served <-chan error) error {
+	kill := time.Now().Add(s.kill)
+	s.engine.EndBy(s.engine.Now() + s.kill - answersBefore)
 	busy := lately
 	if !s.shift.end() {
 		time.Sleep(acceptAfterTerm)
 		busy = 0
 	}
 	s.callers.End()
-	err := s.conns.Finish(busy)
+	err := s.conns.Finish(busy, kill.Add(-closedBefore))
 	<-served // the listener is closed
 	return err
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -53,6 +53,7 @@
 	settings string // instead of laneSettings
 	known    []string
 	temp     string
+	kill     time.Duration // after SIGTERM; 0: when tests have lost patience
 }
 
 func (u setup) run(t *testing.T) *running {
@@ -68,6 +69,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.kill = cmp.Or(u.kill, patience)
 	ctx, term := context.WithCancel(context.Background())
 	r := &running{Sidecar: s, addr: s.Addr().String(), term: term, ended: make(chan error, 1)}
 	go func() { r.ended <- s.Serve(ctx); close(r.ended) }()
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -15,8 +15,8 @@
 	Tier       int
 	Tiers      []string
 	Lanes      []struct {
-		Name, Semantics, Group string
-		OnTimeUs, WindowUs     int64
+		Name, Semantics, Group          string
+		OnTimeUs, HardLimitUs, WindowUs int64
 	}
 	Accounts []struct {
 		Name      string
@@ -54,7 +54,7 @@
 		}
 	}
 	for _, l := range c.Lanes {
-		if l.OnTimeUs < 0 || l.WindowUs < 0 {
+		if l.OnTimeUs < 0 || l.HardLimitUs < 0 || l.WindowUs < 0 {
 			return fmt.Errorf("Lanes: class %q has a negative time", l.Name)
 		}
 	}
@@ -73,6 +73,7 @@
 	tuliprock.Settings
 	ConnIdle    time.Duration // an endpoint closes a connection that has been idle for this long; 0: not told
 	DialTimeout time.Duration // a connection not made by then has failed; 0: not told
+	Longest     time.Duration // deadline of all classes; 0: none is told
 }
 
 // ParseSettings reads the settings object, which the simulator and the deployment give in the same form.
@@ -102,6 +103,7 @@
 		return s, fmt.Errorf("Config: unknown Discovery %q", c.Discovery)
 	}
 	for _, l := range c.Lanes {
+		s.Longest = max(s.Longest, us(l.HardLimitUs))
 		k := tuliprock.Class{Name: l.Name, Window: us(l.WindowUs), Aim: us(l.OnTimeUs)}
 		switch l.Semantics {
 		case "read_like":
