A watch that brings nothing is given up, and the next one opened, well inside the grace

What the agent has counts as told whether or not a watch is open, and at its return at once; a watch that has fallen silent counts as told 6 s after; sends have to end a grace later. An answer has half of the grace now, a line that has begun as well, and silence between lines lasts 2.5 s. - gaps between watches of up to 1.5 s (the grace is 1 s): up to 1.4 s. They go by the grace now, 0.3 of it at most. - a whole list counted as a watch that had brought something, so that after a list that can be read and a line that can't the next came every 50 ms for good. - where changes have to be asked for, each broken watch waited for the module's next ask, 0.4 s later and up to 6 s where several broke; one ask is enough now, and a watch that breaks is opened anew. Engine.RosterFailed, which nobody calls any more, is gone. - lists may come indented: on a watch, an object of several lines was malformed, and the whole list had anew for each.

The grace comes from the settings (Rules.DrainGraceUs). TestWhereDiscoveryIsAskedItsEndIsReported gives way to one that wants the watch itself back, with no ask; the others stay as they were.

--- a/internal/daemon/pool.go
+++ b/internal/daemon/pool.go
@@ -193,7 +193,7 @@
 		run = func(ctx context.Context) { file.Follow(ctx, r.File, p.hear, p.told, p.log) }
 	case r.Platform != "":
 		run = platform.New(platform.Options{Addr: r.Platform, Deliver: func(m platform.Members) { p.hear(m.Engine()) },
-			Failed: p.engine.RosterFailed, Log: p.log}).Run
+			Log: p.log}).Run
 	default:
 		return
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -108,7 +108,7 @@
 	Conns       int           // connections open at once
 	Settle      time.Duration // for which a connection rests after an answer: a second one that comes late shows meanwhile
 	Relay       bool          // answers below 500 are the endpoint's own and go on whole; else only 200 does, with its type
-	Subscribe   func()        // asks the roster for all changes from now on; it must not block
+	Subscribe   func()        // asks the roster for all changes from now on, whatever breaks; it must not block
 	Log         *slog.Logger
 }
 
@@ -228,11 +228,6 @@
 // Heard reports what a roster says.
 func (l *Engine) Heard(m Members) { l.post(func(now time.Duration) { l.list(now, m) }) }
 
-// RosterFailed reports that an ask failed or a subscription broke: the old list stands.
-func (l *Engine) RosterFailed() {
-	l.post(func(now time.Duration) { l.balancer.EndpointList(now, tuliprock.List{Failed: true}) })
-}
-
 // Configure replaces the settings and what the options say of connections; Subscribe and Log stay. All that was learned is
 // kept, and calls that were taken before keep the classes that they came with (tuliprock.Balancer.Configure).
 func (l *Engine) Configure(s tuliprock.Settings, o Options) {
--- a/internal/roster/platform/platform.go
+++ b/internal/roster/platform/platform.go
@@ -2,8 +2,7 @@
 package platform
 
 import (
-	"bufio"
-	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -23,10 +22,12 @@
 
 const (
 	membersPath  = "/catalog/members"
-	maxList      = 4 << 20 // bytes of a list or a line of changes
-	watchSilence = 5 * time.Second
+	maxList      = 4 << 20                 // bytes of a list or a line of changes
+	watchSilence = 2500 * time.Millisecond // an empty line comes every 2 s while nothing changes
+	defaultGrace = time.Second
+	answerShare  = 0.5 // of the grace, within which an agent that answers at once has done so, or a line that has begun ends
 	retryLeast   = 50 * time.Millisecond
-	retryMost    = time.Second
+	retryShare   = 0.2              // of the grace, between two watches at most
 	complainGap  = 10 * time.Second // between two log lines about discovery
 )
 
@@ -92,47 +93,54 @@
 	return m, nil
 }
 
-// Discovery follows the list of endpoints.
+// Discovery follows the list of endpoints. What the agent has counts as told whether or not a watch is open, and sends to an endpoint
+// that drains have to end within the grace: a watch that brings nothing is given up, and the next one opened, well within that.
 type Discovery struct {
 	mu    sync.Mutex
 	addr  string             // guarded by mu, as are the next two
 	moved bool               // since the latest watch began
 	stop  context.CancelFunc // ends the watch that is on
 
-	onAsk   bool          // only a Subscribe starts a watch, and its end is reported
-	asked   chan struct{} // a Subscribe waits here
-	version *int64        // of the latest message; nil: the whole list is wanted
-	deliver func(Members)
-	failed  func()
-	current func()
-	log     *slog.Logger
-	client  *http.Client
-	silence time.Duration // after which a watch is given up
-	spokeAt time.Time
+	asked     chan struct{} // closed by the first Subscribe; nil: none is waited for
+	ask       sync.Once     // closes it
+	version   *int64        // of the latest message; nil: the whole list is wanted
+	deliver   func(Members)
+	current   func()
+	log       *slog.Logger
+	client    *http.Client
+	silence   time.Duration // after which a watch is given up that has brought something
+	answer    time.Duration // within which an answer begins, and what has begun of one is whole
+	retryMost time.Duration
+	spokeAt   time.Time
 }
 
 // Options say what to follow, and who hears of it.
 type Options struct {
 	Addr    string        // host:port
-	OnAsk   bool          // only a Subscribe starts a watch, and its end is reported to Failed
+	OnAsk   bool          // the first watch begins with a Subscribe; from then on there is always one
 	Version *int64        // of the list that is known already; nil: the whole list is wanted
+	Grace   time.Duration // for which endpoints that drain may still be sent to; 0: a second
 	Deliver func(Members) // takes each message
-	Failed  func()        // hears that a watch has ended
 	Current func()        // hears at each word of a watch, also that nothing has changed, that the list is up to date; nil: nobody asks
 	Log     *slog.Logger
 }
 
 // New returns a follower. Run does the work.
 func New(o Options) *Discovery {
-	return &Discovery{addr: o.Addr, onAsk: o.OnAsk, version: o.Version, deliver: o.Deliver, failed: o.Failed, current: o.Current, log: o.Log,
-		asked: make(chan struct{}, 1), silence: watchSilence, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	grace := float64(cmp.Or(o.Grace, defaultGrace))
+	d := &Discovery{addr: o.Addr, version: o.Version, deliver: o.Deliver, current: o.Current, log: o.Log, silence: watchSilence,
+		answer: time.Duration(answerShare * grace), retryMost: time.Duration(retryShare * grace),
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	if o.OnAsk {
+		d.asked = make(chan struct{})
+	}
+	return d
 }
 
-// Subscribe asks for a watch. It does not block.
+// Subscribe asks for watches from now on. It does not block.
 func (d *Discovery) Subscribe() {
-	select {
-	case d.asked <- struct{}{}:
-	default:
+	if d.asked != nil {
+		d.ask.Do(func() { close(d.asked) })
 	}
 }
 
@@ -164,29 +172,25 @@
 // Run keeps a watch until ctx ends. A watch that breaks leaves the old list standing; the next one asks for what
 // has changed since.
 func (d *Discovery) Run(ctx context.Context) {
-	gap := retryLeast
-	for ctx.Err() == nil {
-		if d.onAsk {
-			select {
-			case <-ctx.Done():
-				return
-			case <-d.asked:
-			}
+	if d.asked != nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.asked:
 		}
+	}
+	gap := min(retryLeast, d.retryMost)
+	for {
 		heard, err := d.follow(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		d.complain(err)
-		if d.onAsk {
-			d.failed()
-			continue
-		}
 		if heard {
-			gap = retryLeast
+			gap = min(retryLeast, d.retryMost)
 		}
 		sleep(ctx, time.Duration(float64(gap)*(0.5+rand.Float64()))) // jitter: all sidecars lose their watch together
-		gap = min(2*gap, retryMost)
+		gap = min(2*gap, d.retryMost)
 	}
 }
 
@@ -211,49 +215,35 @@
 func (d *Discovery) follow(ctx context.Context) (heard bool, err error) {
 	ctx, cancel, addr := d.begin(ctx)
 	defer cancel()
-	watchdog := time.AfterFunc(d.silence, cancel)
+	watchdog := time.AfterFunc(d.answer, cancel)
 	defer watchdog.Stop()
 	if d.version == nil {
 		if err := d.list(ctx, addr); err != nil {
 			return false, err
 		}
-		heard = true
-		watchdog.Reset(d.silence)
+		watchdog.Reset(d.answer)
 	}
 	body, err := d.get(ctx, addr, "?watch=1&after="+strconv.FormatInt(*d.version, 10))
 	if err != nil {
-		return heard, err
+		return false, err
 	}
 	defer body.Close()
-	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, 4<<10), maxList)
-	lines.Split(wholeLines)
-	for lines.Scan() {
+	for in := newLines(body, func() { watchdog.Reset(d.answer) }); ; {
+		object, err := in.next()
+		if err != nil {
+			return heard, fmt.Errorf("watch: %w", err)
+		}
 		watchdog.Reset(d.silence)
-		heard = true
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) > 0 {
-			if err := d.take(line); err != nil {
+		if len(object) > 0 {
+			if err := d.take(object); err != nil {
 				return heard, err
 			}
 		}
+		heard = true
 		if d.current != nil {
 			d.current()
 		}
 	}
-	if err := lines.Err(); err != nil {
-		return heard, fmt.Errorf("watch: %w", err)
-	}
-	return heard, errors.New("watch: ended by discovery")
-}
-
-// wholeLines is bufio.ScanLines but for the last line of a watch that breaks off: half of one is nothing at all, and the next watch
-// asks for what was in it.
-func wholeLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
-	if advance, token, err = bufio.ScanLines(data, atEOF); atEOF && advance > 0 && data[advance-1] != '\n' {
-		return advance, nil, err
-	}
-	return advance, token, err
 }
 
 // list gets the whole list once.
--- a/internal/roster/platform/platform_test.go
+++ b/internal/roster/platform/platform_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -21,19 +20,18 @@
 
 type followed struct {
 	*Discovery
-	got      chan Members
-	failures chan bool
-	calls    chan string
+	got   chan Members
+	calls chan string
 }
 
 func follow(t *testing.T, version int64, change func(*Discovery), steps ...string) *followed {
 	s := &testpeer.Script{Steps: steps, Calls: make(chan string, 100)}
 	server := httptest.NewServer(s)
 	t.Cleanup(server.Close)
-	f := &followed{got: make(chan Members, 100), failures: make(chan bool, 100), calls: s.Calls}
-	f.Discovery = &Discovery{addr: server.Listener.Addr().String(), asked: make(chan struct{}, 1), version: &version,
-		deliver: func(m Members) { f.got <- m }, failed: func() { f.failures <- true }, silence: patience,
-		log: slog.New(slog.DiscardHandler), client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	f := &followed{got: make(chan Members, 100), calls: s.Calls}
+	f.Discovery = New(Options{Addr: server.Listener.Addr().String(), Version: &version, Deliver: func(m Members) { f.got <- m },
+		Log: slog.New(slog.DiscardHandler)})
+	f.silence, f.answer = patience, patience
 	if change != nil {
 		change(f.Discovery)
 	}
@@ -116,14 +114,20 @@
 	}
 }
 
-func TestWhereDiscoveryIsAskedItsEndIsReported(t *testing.T) {
-	f := follow(t, 41, func(d *Discovery) { d.onAsk = true }, members(42, false)+"\n", members(43, false)+"\nSILENT")
+// Where changes have to be asked for one ask is enough: a watch that ends is opened anew, whoever asks again or does not.
+func TestWhereDiscoveryIsAskedThereIsAWatchFromThenOn(t *testing.T) {
+	f := follow(t, 41, func(d *Discovery) { d.asked = make(chan struct{}) }, members(42, false)+"\n", members(43, false)+"\n",
+		members(44, false)+"\nSILENT")
+	select {
+	case q := <-f.calls:
+		t.Fatalf("asked %q before anybody wanted it", q)
+	default:
+	}
 	f.Subscribe()
-	f.expectVersions(t, 42)
-	<-f.failures
+	f.expectVersions(t, 42, 43)
 	f.Subscribe()
-	f.expectVersions(t, 43)
-	f.expectCalls(t, "watch=1&after=41", "watch=1&after=42")
+	f.expectVersions(t, 44)
+	f.expectCalls(t, "watch=1&after=41", "watch=1&after=42", "watch=1&after=43")
 }
 
 // What the new address knows may have nothing to do with the old one's versions.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -62,7 +62,7 @@
 	var e *engine.Engine
 	w := newWelcome()
 	d := platform.New(platform.Options{Addr: c.Discovery, OnAsk: settings.MustSubscribe, Version: c.Known.Version,
-		Deliver: func(m platform.Members) { e.Heard(m.Engine()) }, Current: w.hear, Failed: func() { e.RosterFailed() }, Log: log})
+		Grace: c.Settings.DrainGrace, Deliver: func(m platform.Members) { e.Heard(m.Engine()) }, Current: w.hear, Log: log})
 	known := c.Known
 	known.Full = true // the list as it was last had, and the first that the module hears
 	e = engine.New(settings, known.Engine(), engine.Options{ConnIdle: c.Settings.ConnIdle, DialTimeout: c.Settings.DialTimeout,
--- a/internal/testpeer/discovery.go
+++ b/internal/testpeer/discovery.go
@@ -19,7 +19,7 @@
 
 // Script answers each call to discovery with its next step and reports the call.
 type Script struct {
-	Steps []string // lines; "SILENT" at the end holds the connection open
+	Steps []string // lines; "SILENT" at the end holds the connection open, "RESET" breaks it, "MUTE" alone says nothing at all
 	Calls chan string
 }
 
@@ -33,9 +33,15 @@
 	step := s.Steps[0]
 	s.Steps = s.Steps[1:]
 	text, silent := strings.CutSuffix(step, "SILENT")
-	io.WriteString(w, text)
-	w.(http.Flusher).Flush()
-	if silent {
+	text, reset := strings.CutSuffix(text, "RESET")
+	if text != "MUTE" {
+		io.WriteString(w, text)
+		w.(http.Flusher).Flush()
+	}
+	switch {
+	case silent, text == "MUTE":
 		<-r.Context().Done()
+	case reset:
+		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -30,9 +30,9 @@
 		MaxRetryAfterUs, ConnIdleUs, DialTimeoutUs int64
 	}
 	Rules struct {
-		AskWithinUs, ColdUs int64
-		ColdFrom            float64
-		ColdShare           float64 // ours: the platform says nothing of it
+		AskWithinUs, ColdUs, DrainGraceUs int64
+		ColdFrom                          float64
+		ColdShare                         float64 // ours: the platform says nothing of it
 	}
 }
 
@@ -46,6 +46,7 @@
 		{"Permissions.TryLimit", float64(c.Permissions.TryLimit)}, {"Permissions.MaxRetryAfterUs", float64(c.Permissions.MaxRetryAfterUs)},
 		{"Permissions.ConnIdleUs", float64(c.Permissions.ConnIdleUs)}, {"Permissions.DialTimeoutUs", float64(c.Permissions.DialTimeoutUs)},
 		{"Rules.AskWithinUs", float64(c.Rules.AskWithinUs)}, {"Rules.ColdUs", float64(c.Rules.ColdUs)},
+		{"Rules.DrainGraceUs", float64(c.Rules.DrainGraceUs)},
 		{"Rules.ColdFrom", c.Rules.ColdFrom}, {"Rules.ColdShare", c.Rules.ColdShare},
 	}
 	for _, a := range amounts {
@@ -74,6 +75,7 @@
 	ConnIdle    time.Duration // an endpoint closes a connection that has been idle for this long; 0: not told
 	DialTimeout time.Duration // a connection not made by then has failed; 0: not told
 	Longest     time.Duration // deadline of all classes; 0: none is told
+	DrainGrace  time.Duration // for which endpoints that drain may still be sent to; 0: not told
 }
 
 // ParseSettings reads the settings object, which the simulator and the deployment give in the same form.
@@ -85,7 +87,7 @@
 	if err := c.check(); err != nil {
 		return Settings{}, fmt.Errorf("Config: %w", err)
 	}
-	s := Settings{ConnIdle: us(c.Permissions.ConnIdleUs), DialTimeout: us(c.Permissions.DialTimeoutUs)}
+	s := Settings{ConnIdle: us(c.Permissions.ConnIdleUs), DialTimeout: us(c.Permissions.DialTimeoutUs), DrainGrace: us(c.Rules.DrainGraceUs)}
 	s.Settings = tuliprock.Settings{
 		Balancers: c.NInstances, Index: c.Me, Tier: c.Tier, TiersBelow: max(len(c.Tiers)-1-c.Tier, 0),
 		AskWithin: us(c.Rules.AskWithinUs), MaxAttempts: c.Permissions.TryLimit,
