A request that stands behind the last answer at the end is answered, not closed on

Found by reading, then forced: a client sends its next request before it has the answer to the first; SIGTERM comes, or a successor serves, while the first is at its endpoint.

Cause: internal/front/plain/serve.go, write and stream: from the end on (Server.End) every answer said Connection: close, whatever stood behind its request. What had been read with the first went under with the buffer, what stood unread broke the connection with a reset. Both had been taken: their last byte was written to a connection that had been accepted.

Change: at the end an answer is its connection's last only if nothing stands behind its request, read or not (talk.last). A connection whose next request has begun is not told to be idle, so that nothing retires it meanwhile.

Ruled out: a connection retired with a request in the kernel's buffer, which is read and served (TestARequestThatHasComeIsReadBeforeTheEnd).

--- a/internal/front/plain/lookout.go
+++ b/internal/front/plain/lookout.go
@@ -90,9 +90,7 @@
 			binary.NativeEndian.PutUint32(first[:], uint32(info)) // struct tcp_info begins with the state, in a byte
 			gone = first[0] != established
 		}
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch { // where nothing is unread, the end shows here as well, whatever the connection is made of
+		switch n, err := peek(fd); { // where nothing is unread, the end shows here as well, whatever the connection is made of
 		case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
 		case err != nil || n == 0:
 			gone = true
@@ -100,3 +98,20 @@
 	})
 	return gone || err != nil
 }
+
+// pending tells whether bytes have come that nobody has read.
+func (w *lookout) pending() bool {
+	if w.raw == nil {
+		return false
+	}
+	n := 0
+	err := w.raw.Control(func(fd uintptr) { n, _ = peek(fd) })
+	return err == nil && n > 0
+}
+
+// peek looks at the next byte and leaves it there.
+func peek(fd uintptr) (n int, err error) {
+	var b [1]byte
+	n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
--- a/internal/front/plain/serve.go
+++ b/internal/front/plain/serve.go
@@ -86,7 +86,9 @@
 		if !t.turn() {
 			return
 		}
-		all.track(c, http.StateIdle)
+		if t.in.start == t.in.end { // else its next request has begun
+			all.track(c, http.StateIdle)
+		}
 	}
 }
 
@@ -238,6 +240,12 @@
 	return false
 }
 
+// last tells whether the answer to a request is to be the last on its connection. At the end of the process it is, unless the next
+// request stands behind it: that has been taken as well. A request that could not be read is nil.
+func (t *talk) last(r *http.Request) bool {
+	return r == nil || r.Close || t.ending.Load() && t.in.start == t.in.end && !t.look.pending()
+}
+
 // answer writes the final answer of an engine, as the last on its connection or not.
 func (t *talk) answer(r *http.Request, a engine.Reply, end bool) bool {
 	if a.Kind == engine.Served {
@@ -257,7 +265,7 @@
 // off ends its connection short of what it has promised, so that the caller can tell.
 func (t *talk) stream(r *http.Request, a *engine.Answer, end bool) bool {
 	defer a.Rest.Close()
-	end = end || r.Close || t.ending.Load()
+	end = end || t.last(r)
 	chunked := a.Length < 0 && r.ProtoAtLeast(1, 1)
 	toClose := a.Length < 0 && !chunked // it ends with the connection
 	end = end || toClose
@@ -385,7 +393,7 @@
 // write writes an answer and tells whether the connection goes on. A request that could not be read is nil.
 func (t *talk) write(r *http.Request, status int, h http.Header, body []byte, end bool) bool {
 	at := time.Now()
-	end = end || r == nil || r.Close || t.ending.Load()
+	end = end || t.last(r)
 	t.head(r, status, h, end)
 	bodiless := r != nil && r.Method == http.MethodHead
 	switch {
--- a/internal/sidecar/end_test.go
+++ b/internal/sidecar/end_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -104,3 +105,39 @@
 		t.Errorf("%q, then %v", text, err)
 	}
 }
+
+// What stands behind a request when its answer goes out at the end has been taken as well, read or not: it is answered, and only the
+// last answer closes the connection.
+func TestWhatCameAheadOfTheEndIsAnswered(t *testing.T) {
+	for name, atOnce := range map[string]bool{"read with the first": true, "unread": false} {
+		t.Run(name, func(t *testing.T) {
+			b := newBox(t, nil).open()
+			s := setup{settings: fmt.Sprintf(patientSettings, true), known: []string{member("a", b.addr(), "Ready")}}.run(t)
+			text := look
+			if atOnce {
+				text += ahead
+			}
+			c := s.calls(t, "hang", text)
+			until(t, "it is at the endpoint", func() bool { return len(b.came()) == 1 })
+			if !atOnce {
+				io.WriteString(c, strings.ReplaceAll(ahead, "ID", "hang"))
+			}
+			s.term()
+			until(t, "answers end their connections", s.callers.Ending)
+			close(b.release)
+			in := bufio.NewReader(c)
+			for i, last := range []bool{false, true} {
+				resp, err := http.ReadResponse(in, nil)
+				if err != nil {
+					t.Fatalf("answer %d: %v", i+1, err)
+				}
+				if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK || resp.Close != last {
+					t.Errorf("answer %d: %d, close %v, %v", i+1, resp.StatusCode, resp.Close, err)
+				}
+			}
+			if _, err := in.ReadByte(); err != io.EOF {
+				t.Errorf("behind the last answer: %v", err)
+			}
+		})
+	}
+}
