Every request gets the look whether its caller is there, also one that has just been read

Cause: internal/front/plain/serve.go, turn: a request under 3 ms old, counted from its read, went out without a look. How long it had stood in the kernel's queues before is not known: a connection waits there to be accepted while all places are taken, while another process takes over and while a new one waits for its first list. Its client may have written its request and left long ago.

The look is two calls of the kernel (getsockopt, recv) for each attempt. A connection that is accepted a moment before it is established (TCP_SYN_RECV) no longer counts as one whose caller has left.

Test: TestNothingIsSentForACallerThatLeftBeforeItWasAccepted (the kernel's queue held by a pause, five ways of leaving, one that stays): all five were sent on without the change.

--- a/internal/front/plain/lookout.go
+++ b/internal/front/plain/lookout.go
@@ -9,10 +9,7 @@
 	"time"
 )
 
-const (
-	lookEvery = 100 * time.Millisecond // between two looks whether a caller is still there
-	fresh     = 3 * time.Millisecond   // a request this young goes out without a look: nothing has been waited for
-)
+const lookEvery = 100 * time.Millisecond // between two looks whether a caller is still there
 
 // lookout looks out for a caller that leaves before it has its answer. It serves one request after the other.
 //
@@ -74,8 +71,12 @@
 	return w.left
 }
 
-// established is the state of a connection of which neither side has ended anything (TCP_ESTABLISHED in Linux's tcp_states.h).
-const established = 1
+// The states of a connection of which neither side has ended anything (TCP_ESTABLISHED and TCP_SYN_RECV in Linux's tcp_states.h): one
+// may be accepted a moment before it is established.
+const (
+	established = 1
+	synReceived = 3
+)
 
 // gone tells whether the caller has left: it has ended its side of the connection or broken it, or the connection was cut off here,
 // at the end of the process's time.
@@ -88,7 +89,7 @@
 		var first [4]byte
 		if info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO); err == nil {
 			binary.NativeEndian.PutUint32(first[:], uint32(info)) // struct tcp_info begins with the state, in a byte
-			gone = first[0] != established
+			gone = first[0] != established && first[0] != synReceived
 		}
 		switch n, err := peek(fd); { // where nothing is unread, the end shows here as well, whatever the connection is made of
 		case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
--- a/internal/front/plain/serve.go
+++ b/internal/front/plain/serve.go
@@ -53,7 +53,6 @@
 	out  []byte // an answer
 	look lookout
 	came time.Time // the connection, or the first byte of its latest request
-	late bool      // that request was sent ahead, and may have stood unread for any time
 
 	writesFrom time.Time // when the deadline of writes was set
 }
@@ -94,7 +93,7 @@
 
 // await waits for the next request. One that is long in coming costs the connection its buffer: idle connections are many.
 func (t *talk) await() bool {
-	if t.late = t.in.start < t.in.end; t.late {
+	if t.in.start < t.in.end {
 		return true
 	}
 	if t.conn.SetReadDeadline(after(keepBuffer)) != nil {
@@ -173,8 +172,7 @@
 		f.Close = f.Close || more != nil
 		return t.refuse(r, f)
 	}
-	late := t.late
-	c.Left = func() bool { return (late || time.Since(arrived) > fresh) && t.look.gone() }
+	c.Left = t.look.gone // also of one that has just been read: nobody knows how long it stood in the kernel's queues
 	leave := func() { v.Engine.Leave(c) }
 	if more == nil {
 		taken = true
--- a/internal/sidecar/leave_test.go
+++ b/internal/sidecar/leave_test.go
@@ -298,6 +298,26 @@
 	}
 }
 
+// A connection may stand in the kernel's queue for long, while another process takes over or all places are taken, with its request
+// written and its client gone.
+func TestNothingIsSentForACallerThatLeftBeforeItWasAccepted(t *testing.T) {
+	b := newBox(t, nil).open()
+	s := setup{settings: fmt.Sprintf(patientSettings, true), known: []string{member("a", b.addr(), "Ready")}}.run(t)
+	s.conns.Pause()
+	for way, leave := range leavings {
+		leave(s.calls(t, "leaves by "+way, look))
+	}
+	stays := s.calls(t, "stays", look+ahead)
+	s.conns.Resume()
+	stays.isServed(t)
+	until(t, "all are done with", func() bool { open, _ := s.conns.Load(); return open == 1 })
+	for _, id := range b.came() {
+		if strings.HasPrefix(id, "leaves") {
+			t.Errorf("the request that %s was sent on", id)
+		}
+	}
+}
+
 // unaccepting is an endpoint whose connections do not come up until it opens: its queue is full.
 func unaccepting(t *testing.T) *box {
 	t.Helper()
