Connections from before an endpoint's start are dropped when discovery tells of it

Found by reading: an idle connection to a machine that vanished says nothing (no end, no reset), so the look before the first byte (internal/engine/upstream.go, ready and usable) finds it good; the machine comes back under the same address, discovery tells of the start, and the next request went out on a connection at whose other end nobody is. It ended as a reset or not at all, which for an unsafe request is final.

Cause: upstream.setMember closed connections only where the address had changed or nothing new was wanted; the start that the list tells of (started_ms, all machines read one clock) was the module's alone.

Change: a pool knows its endpoint's start. A connection that came up before it is not idle any more, is not given back after its attempt, and carries nothing that was chosen for it before (pool.keeps, one test for all three). One that came up after it stays.

Ruled out: resets and closes of processes that die, which are seen on the socket.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -272,6 +272,7 @@
 func (l *Engine) keep(id string) {
 	if m, listed := l.members[id]; listed {
 		l.upstream.setMember(id, m.Addr, m.State == tuliprock.Ready && !l.banned[id])
+		l.upstream.started(id, time.UnixMilli(m.StartedMs))
 	}
 }
 
--- a/internal/engine/upstream.go
+++ b/internal/engine/upstream.go
@@ -60,12 +60,16 @@
 
 // pool holds the idle connections to one endpoint, the one used last at the end.
 type pool struct {
-	addr  string
-	keep  bool   // connections are worth keeping
-	fault string // how the latest attempt that failed did so; empty once one has succeeded
-	idle  []*conn
+	addr    string
+	keep    bool      // connections are worth keeping
+	started time.Time // the endpoint; nobody is at the other end of connections from before, though they may say nothing
+	fault   string    // how the latest attempt that failed did so; empty once one has succeeded
+	idle    []*conn
 }
 
+// keeps tells whether a connection to the endpoint leads to what it is now, and is worth keeping. The upstream's lock is held.
+func (p *pool) keeps(c *conn) bool { return p.keep && p.addr == c.addr && !c.upAt.Before(p.started) }
+
 // conn is one connection; it carries one attempt at a time.
 type conn struct {
 	net.Conn
@@ -75,6 +79,7 @@
 	out    []byte // what is being written
 	pool   *pool
 	addr   string
+	upAt   time.Time
 	idleAt time.Time
 }
 
@@ -140,6 +145,24 @@
 	p.addr, p.keep = addr, keep
 }
 
+// started says when an endpoint has started. Idle connections from before that are closed.
+func (u *upstream) started(id string, at time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	p := u.pools[id]
+	if p == nil || !at.After(p.started) {
+		return
+	}
+	p.started = at
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		if p.keeps(c) {
+			return false
+		}
+		u.closeLocked(c)
+		return true
+	})
+}
+
 // removeMember forgets an endpoint.
 func (u *upstream) removeMember(id string) {
 	u.mu.Lock()
@@ -353,7 +376,7 @@
 		return nil, err
 	}
 	limit := &io.LimitedReader{R: nc}
-	return &conn{Conn: nc, raw: raw, limit: limit, read: bufio.NewReader(limit), pool: p, addr: addr}, nil
+	return &conn{Conn: nc, raw: raw, limit: limit, read: bufio.NewReader(limit), pool: p, addr: addr, upAt: time.Now()}, nil
 }
 
 // errNotTried says that nothing was asked of the endpoint: it is not listed for new work any more, or all descriptors for
@@ -408,7 +431,7 @@
 func (u *upstream) giveBack(c *conn) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !c.pool.keep || c.pool.addr != c.addr || u.open > u.most {
+	if !c.pool.keeps(c) || u.open > u.most {
 		u.closeLocked(c)
 		return
 	}
@@ -464,7 +487,7 @@
 // and the caller may have left. What goes out from here on was right when it did.
 func (u *upstream) ready(c *conn, l *leash) error {
 	u.mu.Lock()
-	wanted := c.pool.keep && c.pool.addr == c.addr
+	wanted := c.pool.keeps(c)
 	u.mu.Unlock()
 	switch {
 	case !wanted:
