SIGHUP is heeded up to the very end of the process

Found by reading: cmd/tuliprock/main.go, run, ended with signal.Stop(hup), behind which the signal has its default effect again. One that came between that and the exit ended the process by a signal.

Change: the signal is notified for good; what comes at the end stands in the channel, and nobody reads it. Test: TestSIGHUPBehindTheEndIsHeeded, which ended with "signal: hangup" without the change. SIGUSR1, sent behind it, shows that it was delivered.

--- a/cmd/tuliprock/main.go
+++ b/cmd/tuliprock/main.go
@@ -27,9 +27,8 @@
 
 // run serves until SIGTERM or SIGINT has come and all that was taken has been answered.
 func run() error {
-	hup := make(chan os.Signal, 1) // first of all: unheeded, the signal would end the process
+	hup := make(chan os.Signal, 1) // first of all, and for good: unheeded, the signal would end the process
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	c, err := sidecar.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
--- a/cmd/tuliprock/main_test.go
+++ b/cmd/tuliprock/main_test.go
@@ -7,7 +7,10 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"runtime"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"syscall"
@@ -87,6 +90,29 @@
 	}
 }
 
+// SIGHUP may come at any time up to the very end: a sidecar that ends on it has crashed.
+func TestSIGHUPBehindTheEndIsHeeded(t *testing.T) {
+	procs, percent, most := runtime.GOMAXPROCS(0), debug.SetGCPercent(100), debug.SetMemoryLimit(-1)
+	t.Cleanup(func() { runtime.GOMAXPROCS(procs); debug.SetGCPercent(percent); debug.SetMemoryLimit(most) })
+	addr, called := agent(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	configure(t, path, addr)
+	t.Setenv("ROUTER_CONFIG", path)
+	ended := make(chan error, 1)
+	go func() { ended <- run() }()
+	await(t, "discovery is called", called)
+	signalled := make(chan os.Signal, 1)
+	signal.Notify(signalled, syscall.SIGUSR1)
+	defer signal.Stop(signalled)
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	if err := <-ended; err != nil {
+		t.Errorf("ended with %v", err)
+	}
+	syscall.Kill(os.Getpid(), syscall.SIGHUP) // of several that are pending the lowest number is delivered first
+	syscall.Kill(os.Getpid(), syscall.SIGUSR1)
+	<-signalled
+}
+
 // The platform's program stays lean: whatever the rest of the repository uses, it links only this.
 func TestLinksNothingHeavy(t *testing.T) {
 	out, err := exec.Command("go", "list", "-deps", "-f", "{{if not .Standard}}{{.ImportPath}}{{end}}", ".").Output()
