A predecessor can know that it has a successor before anybody is told yes

Found by reading: internal/sidecar/sidecar.go, Serve, said yes on the console (welcome.open) and then told the predecessor (shift.serve). SIGTERM between the two found a predecessor with no successor (shift.end): it went on to accept for 0.6 s beside the new process, and then closed each idle connection at once, also those in use a moment ago (lately), on which clients were about to send.

Change: the predecessor is told first. Test: TestAPredecessorIsToldBeforeTheYes, held in between by the log line of a folder that can't be written; "before it is told: <nil>" without the change.

--- a/internal/sidecar/operator_test.go
+++ b/internal/sidecar/operator_test.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -218,6 +220,51 @@
 	}
 }
 
+// during is a log that does something at each line.
+type during struct {
+	slog.Handler
+	does func(line string)
+}
+
+// Handle implements slog.Handler.
+func (d during) Handle(_ context.Context, r slog.Record) error { d.does(r.Message); return nil }
+
+// Enabled implements slog.Handler.
+func (d during) Enabled(context.Context, slog.Level) bool { return true }
+
+// At the yes the platform sends SIGTERM to the predecessor, which must be able to know by then that it has a successor. So nothing says
+// yes before that is told; here it can't be, and what comes of that is told in between.
+func TestAPredecessorIsToldBeforeTheYes(t *testing.T) {
+	c, err := parseConfig([]byte(`{"listen":"127.0.0.1:0","console":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"7","known":{"version":1,"full":true,"servers":[]},"settings":{}}`),
+		func(name string) string { return map[string]string{"TMPDIR": t.TempDir()}[name] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := make(chan error, 1)
+	var s *Sidecar
+	s, err = Start(c, slog.New(during{slog.DiscardHandler, func(line string) {
+		if line == "a predecessor is not told that this process serves" {
+			told <- (&operator{welcome: s.welcome}).Ready()
+		}
+	}}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.welcome.hear()
+	s.shift.presence.Leave() // its file is gone: the predecessor can't be told
+	ctx, end := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- s.Serve(ctx) }()
+	if err := <-told; !errors.Is(err, errNotOpen) {
+		t.Errorf("before it is told: %v", err)
+	}
+	until(t, "it says yes", func() bool { return (&operator{welcome: s.welcome}).Ready() == nil })
+	end()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
 func TestAConsoleThatCannotBeOpenedFailsTheStart(t *testing.T) {
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -146,8 +146,8 @@
 	s.shift.recall()
 	served := make(chan error, 1)
 	go func() { served <- s.callers.Serve(s.conns) }()
+	s.shift.serve() // before the yes: who sends SIGTERM at the yes finds a predecessor that can know
 	s.welcome.open.Store(true)
-	s.shift.serve()
 	select {
 	case err := <-served:
 		return fmt.Errorf("serve: %w", err)
