Tests: an upgrade with requests half read, a body whose caller leaves, an idle connection closed under a request

Crossings that were read and held, now forced: requests half read in head and body when a successor says yes and SIGTERM comes (cmd/tuliprock), a long body, kept or still coming, that stands before an endpoint which reads none of it when its client leaves by FIN or RST, and an idle connection that its endpoint closes when a request has been written there, safe and unsafe (internal/sidecar). No change of the program.

--- a/cmd/tuliprock/upgrade_test.go
+++ b/cmd/tuliprock/upgrade_test.go
@@ -387,3 +387,48 @@
 	close(stop)
 	<-ended
 }
+
+// A request is half read, in its head or in its body, when a successor says yes and SIGTERM comes: who began to read it answers it.
+func TestAnUpgradeWithARequestHalfRead(t *testing.T) {
+	a := testpeer.New(t, testpeer.Says(testpeer.Served, true))
+	p := newPlatform(t, a.Addr)
+	first := p.start(t)
+	first.ready(t)
+	whole := "POST /pay HTTP/1.1\r\nHost: h\r\nReq-Id: ID\r\nReq-Deadline-Ms: 10000\r\nContent-Length: 4\r\n\r\nbody"
+	type half struct {
+		net.Conn
+		rest string
+	}
+	var halves []half
+	for i, at := range []int{1, len(whole) / 2, len(whole) - 5, len(whole) - 1} {
+		nc, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		nc.SetDeadline(time.Now().Add(patience))
+		text := strings.Replace(whole, "ID", fmt.Sprint("r", i), 1)
+		io.WriteString(nc, text[:at])
+		halves = append(halves, half{nc, text[at:]})
+	}
+	// One that came behind them has been served: connections are accepted in their order, so that these are the first process's.
+	stop := make(chan struct{})
+	var served atomic.Int32
+	ended := make(chan bool)
+	go func() { p.caller(t, "c", stop, &served); close(ended) }()
+	testpeer.Until(t, "more is served", func() bool { return served.Load() > 10 })
+	second := p.start(t)
+	second.ready(t)
+	testpeer.Until(t, "the first has seen it", func() bool { return strings.Contains(first.log.String(), "is_so=true") })
+	first.Process.Signal(syscall.SIGTERM)
+	for i, h := range halves {
+		io.WriteString(h, h.rest)
+		resp, err := http.ReadResponse(bufio.NewReader(h), nil)
+		if err != nil || resp.StatusCode != http.StatusOK || !resp.Close {
+			t.Errorf("half %d: %+v, %v", i, resp, err)
+		}
+	}
+	first.end(t)
+	close(stop)
+	<-ended
+}
--- a/internal/sidecar/leave_test.go
+++ b/internal/sidecar/leave_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -35,8 +36,9 @@
 	breaks  bool // then it does not answer these
 	release chan bool
 
-	mu  sync.Mutex
-	ids []string
+	mu    sync.Mutex
+	ids   []string
+	whole []string // those that came whole
 }
 
 func newBox(t *testing.T, l net.Listener) *box {
@@ -84,7 +86,13 @@
 		if hangs {
 			<-b.release
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil || hangs && b.breaks {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.whole = append(b.whole, id)
+		b.mu.Unlock()
+		if hangs && b.breaks {
 			return
 		}
 		io.WriteString(nc, served)
@@ -318,6 +326,83 @@
 	}
 }
 
+// A body is being written, kept whole or still coming, to an endpoint that reads none of it when its client leaves: its end never goes
+// out, there or elsewhere. That of a client that stays does.
+func TestABodyIsNotWrittenToItsEndForACallerThatLeft(t *testing.T) {
+	const size = 12 << 20 // more than the kernel holds on both sides
+	body := strings.Repeat("x", size)
+	for name, limits := range map[string]string{"kept": `{"memory_mb":512}`, "still coming": `{"memory_mb":32}`} {
+		for way, leave := range map[string]func(c *caller){"fin": leavings["fin"], "rst": leavings["rst"], "stays": nil} {
+			t.Run(name+" "+way, func(t *testing.T) {
+				t.Parallel()
+				a, b := newBox(t, nil).open(), newBox(t, nil).open()
+				s := setup{limits: limits, settings: fmt.Sprintf(patientSettings, true),
+					known: []string{member("a", a.addr(), "Ready"), member("b", b.addr(), "Ready")}}.run(t)
+				c := s.calls(t, "hang", fmt.Sprintf("POST /pay HTTP/1.1\r\nHost: h\r\nReq-Id: ID\r\nReq-Deadline-Ms: 600000\r\nContent-Length: %d\r\n\r\n", size))
+				sent := make(chan bool)
+				go func() {
+					n := size
+					if leave != nil && name == "still coming" {
+						n = 1 << 20
+					}
+					io.WriteString(c, body[:n])
+					close(sent)
+				}()
+				until(t, "it is being written", func() bool { return len(a.came())+len(b.came()) == 1 })
+				if leave != nil {
+					<-sent
+					leave(c)
+					s.concurrent(t, 0)
+				}
+				close(a.release)
+				close(b.release)
+				if leave == nil {
+					c.isServed(t)
+					<-sent
+				}
+				s.concurrent(t, 0)
+				until(t, "no connection carries anything", func() bool { return s.engine.Stats().Connections <= map[bool]int{true: 1}[leave == nil] })
+				a.mu.Lock()
+				defer a.mu.Unlock()
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				if n, all := len(a.whole)+len(b.whole), len(a.ids)+len(b.ids); n != map[bool]int{true: 1}[leave == nil] || all != 1 {
+					t.Errorf("it was sent %d times, %d times whole", all, n)
+				}
+			})
+		}
+	}
+}
+
+// An endpoint closes an idle connection when a request that was written there arrives, unheard: the safe one is sent again, the unsafe one,
+// which nothing proves not to have run, is not.
+func TestAnIdleConnectionClosedUnderARequest(t *testing.T) {
+	for path, want := range map[string]int{"/look": http.StatusOK, "/pay": http.StatusBadGateway} {
+		method := map[string]string{"/look": http.MethodGet, "/pay": http.MethodPost}[path]
+		var closed atomic.Int32
+		e := newEndpoint(t, func(nc net.Conn, r *http.Request, _ int) bool {
+			if r.Header.Get("Req-Id") == "second" && closed.Add(1) == 1 {
+				nc.(*net.TCPConn).SetLinger(0)
+				return false
+			}
+			io.WriteString(nc, served)
+			return true
+		})
+		s := run(t, e.Addr)
+		if status, _, _ := ask(t, s.request(t, method, path, "first", 10000)); status != http.StatusOK {
+			t.Fatalf("the first on %s: %d", path, status)
+		}
+		rested := time.Now().Add(settle)
+		until(t, "the connection has rested", func() bool { return time.Now().After(rested) })
+		if status, _, _ := ask(t, s.request(t, method, path, "second", 10000)); status != want {
+			t.Errorf("%s is answered %d", path, status)
+		}
+		if n, all := e.Connections.Load(), e.Requests.Load(); want == http.StatusOK && (n != 2 || all != 3) || want != http.StatusOK && (n != 1 || all != 2) {
+			t.Errorf("%s came %d times on %d connections", path, all, n)
+		}
+	}
+}
+
 // unaccepting is an endpoint whose connections do not come up until it opens: its queue is full.
 func unaccepting(t *testing.T) *box {
 	t.Helper()
