A request waits out its connection's rest, and opens no other one for that

Cause: internal/engine/upstream.go, reserve passed over connections that had not rested and opened a new one beside them. That costs the endpoint a handshake and the request its time, may come up late or never, and the rest is 20 ms at most.

Change: with none that has rested the attempt takes the one that will have first, and waits for that (rest); it can be called off there. What has come on it meanwhile is seen by the look before the first byte, and another connection is taken.

Tests: TestALateSecondAnswerIsNobodys now holds the second request in the rest, by a seam, and lets the second answer come there; TestRestedConnectionsGoFirst, TestAnAttemptCalledOffWhileItsConnectionRests.

--- a/internal/engine/upstream.go
+++ b/internal/engine/upstream.go
@@ -45,8 +45,9 @@
 // again by itself when a reused connection breaks, which is a second copy, and dials spare connections.
 type upstream struct {
 	connect func(ctx context.Context, network, addr string) (net.Conn, error)
-	relay   bool         // answers below 500 are passed on as they are
-	written atomic.Int64 // requests, whole
+	pause   func(ctx context.Context) // until its end
+	relay   bool                      // answers below 500 are passed on as they are
+	written atomic.Int64              // requests, whole
 
 	mu          sync.Mutex
 	dialTimeout time.Duration
@@ -67,6 +68,15 @@
 	idle    []*conn
 }
 
+// resting is how many of the idle connections have not rested yet: those at the end.
+func (p *pool) resting(now time.Time, settle time.Duration) int {
+	n := 0
+	for n < len(p.idle) && now.Sub(p.idle[len(p.idle)-1-n].idleAt) < settle {
+		n++
+	}
+	return n
+}
+
 // keeps tells whether a connection to the endpoint leads to what it is now, and is worth keeping. The upstream's lock is held.
 func (p *pool) keeps(c *conn) bool { return p.keep && p.addr == c.addr && !c.upAt.Before(p.started) }
 
@@ -84,7 +94,7 @@
 }
 
 func newUpstream(o Options) *upstream {
-	u := &upstream{connect: (&net.Dialer{}).DialContext, relay: o.Relay, pools: map[string]*pool{}}
+	u := &upstream{connect: (&net.Dialer{}).DialContext, pause: func(ctx context.Context) { <-ctx.Done() }, relay: o.Relay, pools: map[string]*pool{}}
 	u.configure(o)
 	return u
 }
@@ -280,7 +290,7 @@
 	mu     sync.Mutex
 	called bool      // off
 	whole  bool      // the request is written: it may run from now on
-	ends   io.Closer // what is under way: a dial, or an exchange on a connection
+	ends   io.Closer // what is under way: a wait, or an exchange on a connection
 }
 
 // cancel calls the attempt off. What is under way ends at once.
@@ -337,15 +347,31 @@
 	return r
 }
 
-// dial is a connection that is being made. To close it is to call it off.
-type dial struct{ context.CancelFunc }
+// waiting is a wait for a connection to be made, or to have rested. To close it is to call it off.
+type waiting struct{ context.CancelFunc }
 
 // Close implements io.Closer.
-func (d dial) Close() error { d.CancelFunc(); return nil }
+func (w waiting) Close() error { w.CancelFunc(); return nil }
+
+// rest returns when an idle connection has rested, or the attempt is called off: the next hold tells.
+func (u *upstream) rest(l *leash, c *conn, settle time.Duration) {
+	until := c.idleAt.Add(settle)
+	if !time.Now().Before(until) {
+		return
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	if l.hold(waiting{cancel}) {
+		u.pause(ctx)
+	}
+}
 
-// take returns an idle connection to the endpoint, or else dials one.
+// take returns an idle connection to the endpoint, once it has rested, or else dials one.
 func (u *upstream) take(l *leash, id string) (*conn, error) {
 	p, addr, within, c, err := u.reserve(id)
+	if c != nil {
+		u.rest(l, c, within)
+	}
 	if c != nil || err != nil {
 		return c, err
 	}
@@ -353,7 +379,7 @@
 	defer cancel()
 	ctx, cancelDial := context.WithTimeout(ctx, within)
 	defer cancelDial()
-	if l.hold(dial{cancelDial}) {
+	if l.hold(waiting{cancelDial}) {
 		var nc net.Conn
 		if nc, err = u.connect(ctx, "tcp", addr); err == nil {
 			if c, err = newConn(nc, p, addr); err == nil {
@@ -383,8 +409,9 @@
 // connections are in use. That is no failure of the endpoint's and must not be reported as one.
 var errNotTried = errors.New("no connection could be tried")
 
-// reserve takes the idle connection used last of those that have rested, or the right to open one to the address returned,
-// within the time returned.
+// reserve takes the idle connection used last of those that have rested, or else the one that will have first, within the time
+// returned from its latest answer: a short rest costs less than a new connection. With none idle it takes the right to open one to the
+// address returned, within the time returned.
 func (u *upstream) reserve(id string) (p *pool, addr string, within time.Duration, c *conn, err error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -393,14 +420,12 @@
 		return nil, "", 0, nil, errNotTried
 	}
 	now := time.Now()
-	for i := len(p.idle) - 1; i >= 0; i-- {
+	for len(p.idle) > 0 {
+		i := max(len(p.idle)-1-p.resting(now, u.settle), 0)
 		c := p.idle[i]
-		if now.Sub(c.idleAt) < u.settle {
-			continue
-		}
 		p.idle = slices.Delete(p.idle, i, i+1)
 		if u.usable(c, now) {
-			return p, p.addr, 0, c, nil
+			return p, p.addr, u.settle, c, nil
 		}
 		u.closeLocked(c)
 	}
