A start in the future keeps no endpoint's connections from being used

A roster whose clock is ahead tells of a start in the future: every connection was from before it, and each request was refused (no_budget) though the endpoint was well. On the platform all machines read one clock; a daemon's roster need not.

Cause: internal/engine/upstream.go, started, took the roster's word for an instant. A start in the future is one by now; what was told is kept beside it, so that the same word again changes nothing.

--- a/internal/engine/calls_test.go
+++ b/internal/engine/calls_test.go
@@ -172,6 +172,22 @@
 	}
 }
 
+// A roster whose clock is ahead tells of a start in the future: the endpoint is used, and its connections are kept.
+func TestAStartInTheFutureKeepsNobodyOut(t *testing.T) {
+	f := newFleet(t, 1, answers)
+	e := testEngine(t, tuliprock.Settings{MayCancel: true}, f.addrs...)
+	listed := Members{Members: []Member{{ID: "a", Addr: f.addrs[0], StartedMs: time.Now().Add(time.Hour).UnixMilli()}}}
+	for _, id := range []string{"r1", "r2"} {
+		e.Heard(listed)
+		if r := <-e.answer(e.call(id, "unsafe", patience)); r.Kind != Served {
+			t.Errorf("answered %+v", r)
+		}
+	}
+	if n := f.peers[0].Connections.Load(); n != 1 {
+		t.Errorf("%d connections were opened", n)
+	}
+}
+
 // A connection that carries an attempt while its endpoint restarts is not kept for another one.
 func TestAConnectionFromBeforeARestartIsNotGivenBack(t *testing.T) {
 	came, release := make(chan bool), make(chan bool)
--- a/internal/engine/upstream.go
+++ b/internal/engine/upstream.go
@@ -63,7 +63,8 @@
 type pool struct {
 	addr    string
 	keep    bool      // connections are worth keeping
-	started time.Time // the endpoint; nobody is at the other end of connections from before, though they may say nothing
+	told    time.Time // when the endpoint has started, as the roster says,
+	started time.Time // and as that can be true; nobody is at the other end of connections from before, though they may say nothing
 	fault   string    // how the latest attempt that failed did so; empty once one has succeeded
 	idle    []*conn
 }
@@ -155,15 +156,19 @@
 	p.addr, p.keep = addr, keep
 }
 
-// started says when an endpoint has started. Idle connections from before that are closed.
+// started says when an endpoint has started. Idle connections from before that are closed. A start in the future is one by now: else a
+// clock that is ahead would keep all connections from being used.
 func (u *upstream) started(id string, at time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	p := u.pools[id]
-	if p == nil || !at.After(p.started) {
+	if p == nil || !at.After(p.told) {
 		return
 	}
-	p.started = at
+	p.told, p.started = at, at
+	if now := time.Now(); at.After(now) {
+		p.started = now
+	}
 	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
 		if p.keeps(c) {
 			return false
