Failing tests: accept errors, a stepped clock at a handover, a ban over a failing directory

Measured: TestServeOutlivesFailedAccepts fails after 20 s without an answer; TestSuccessorIsTheLaterProcessWhateverTheClock finds no successor; TestBanOutlivesFailureOfSharedDirAtStart sees requests at the endpoint that is out.

--- a/internal/hotrestart/presence_test.go
+++ b/internal/hotrestart/presence_test.go
@@ -118,3 +118,23 @@
 		t.Errorf("snapshot at %s, want %s", got, want)
 	}
 }
+
+// A process registers while the clock is an hour ahead; the clock is set back, and another one
+// registers. The second is the successor nevertheless.
+func TestSuccessorIsTheLaterProcessWhateverTheClock(t *testing.T) {
+	dir := openSharedDir(t)
+	first := register(t, dir, int64(time.Hour))
+	defer first.Unregister()
+	second := register(t, dir, 0)
+	defer second.Unregister()
+	third := register(t, dir, -int64(time.Hour)) // and back once more
+	defer third.Unregister()
+	for _, p := range []*Presence{first, second, third} {
+		if err := p.MarkServing(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	expectPeers(t, "the first", first, Peers{Alive: true, Successor: true})
+	expectPeers(t, "the second", second, Peers{Alive: true, Successor: true})
+	expectPeers(t, "the third", third, Peers{Alive: true})
+}
--- /dev/null
+++ b/internal/httpserver/accept_test.go
@@ -0,0 +1,72 @@
+package httpserver
+
+import (
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// failingListener fails to accept with each of its errors, in order, and accepts from then on.
+type failingListener struct {
+	net.Listener
+	mu       sync.Mutex
+	failures []error
+}
+
+// Accept implements net.Listener.
+func (l *failingListener) Accept() (net.Conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.failures) > 0 {
+		err := l.failures[0]
+		l.failures = l.failures[1:]
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
+	}
+	return l.Listener.Accept()
+}
+
+// listenFailing returns a listener on loopback that fails with the errors first.
+func listenFailing(t *testing.T, failures ...error) *failingListener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return &failingListener{Listener: l, failures: failures}
+}
+
+// transientAcceptErrors are the errors of accept(2) that may pass: of the process, of the machine,
+// and pending errors of a connection's network, which it says to treat like EAGAIN.
+var transientAcceptErrors = []error{
+	syscall.ECONNABORTED, syscall.EINTR, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPERM,
+	syscall.ENETDOWN, syscall.EPROTO, syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH,
+	syscall.EOPNOTSUPP, syscall.ENETUNREACH,
+}
+
+// A failed accept must not end the server, whatever the error, nor keep a client waiting for long.
+func TestServeOutlivesFailedAccepts(t *testing.T) {
+	inner := listenFailing(t, transientAcceptErrors...)
+	l := NewListener(inner, 10)
+	served := make(chan error, 1)
+	go func() { served <- New(nil, "test", "h", slog.New(slog.DiscardHandler)).Serve(l) }()
+	began := time.Now()
+	client := http.Client{Timeout: patience}
+	resp, err := client.Get("http://" + inner.Addr().String() + healthPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("%d failures in a row delayed a request by %v", len(transientAcceptErrors), took)
+	}
+	l.Close()
+	if err := <-served; err == nil {
+		t.Error("a closed listener ends the server without an error")
+	}
+}
--- /dev/null
+++ b/internal/sidecar/shareddir_test.go
@@ -0,0 +1,61 @@
+package sidecar
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"rowancart/internal/testpeer"
+)
+
+// breakSharedDir makes the shared directory of a test sidecar fail, as a file system in trouble
+// does, until the function returned is called.
+func breakSharedDir(t *testing.T, parent string) (mend func()) {
+	t.Helper()
+	path := filepath.Join(parent, "rowancart-") // a test sidecar has no name
+	aside := filepath.Join(parent, "aside")
+	if err := os.Rename(path, aside); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, nil, 0o600); err != nil { // where a directory is wanted
+		t.Fatal(err)
+	}
+	return func() {
+		if err := os.Remove(path); err != nil {
+			t.Error(err)
+		}
+		if err := os.Rename(aside, path); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// A ban that was taken on holds in the next process, though the shared directory fails while that
+// process starts.
+func TestBanOutlivesFailureOfSharedDirAtStart(t *testing.T) {
+	a, b := newEndpoint(t, respondWith(okResponse, true)), newEndpoint(t, respondWith(okResponse, true))
+	sharedDir := t.TempDir()
+	endpoints := []string{endpointJSON("a", a.Addr, "Ready"), endpointJSON("b", b.Addr, "Ready")}
+	first := testOptions{sharedDir: sharedDir, endpoints: endpoints}.start(t)
+	first.requireSuccess(t, "disable-server a")
+	first.terminate()
+	first.waitForServeResult(t)
+
+	mend := breakSharedDir(t, sharedDir)
+	second := testOptions{sharedDir: sharedDir, endpoints: endpoints}.start(t)
+	answered := make(chan int)
+	go func() { answered <- second.get(t, "/look", "early", 60000) }()
+	testpeer.Until(t, "the process answers its operators", func() bool { return second.adminCommand(t, "ready") != "" })
+	mend()
+	if status := <-answered; status != http.StatusOK {
+		t.Errorf("a request from before the directory's return gets status %d", status)
+	}
+	for i := range 10 {
+		second.get(t, "/look", fmt.Sprint("later", i), 60000)
+	}
+	if n := a.Requests.Load(); n != 0 {
+		t.Errorf("%d requests went to the endpoint that is out", n)
+	}
+}
