No error of accept that may pass ends a server, and none is waited out for long

Cause: httpserver.isTemporary asked the error for Temporary(), which covers ECONNABORTED, EINTR, EMFILE and ENFILE alone, so that the sidecar and the daemon ended at ENOBUFS, ENETUNREACH and others; the wait after a failure grew to 1 s, longer than short deadlines. The daemon's admin interface accepts through the same (NewRetryingListener).

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"rowancart/balancer"
+	"rowancart/internal/httpserver"
 	"rowancart/internal/proxy"
 )
 
@@ -173,7 +174,7 @@
 func (d *Daemon) serveAdmin() (stop func()) {
 	server := &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: adminHeaderTimeout}
 	d.log.Info("listening", "listener", "admin", "addr", d.admin.Addr().String())
-	d.tasks.Go(func() error { return ignoreClosed(server.Serve(d.admin)) })
+	d.tasks.Go(func() error { return ignoreClosed(server.Serve(httpserver.NewRetryingListener(d.admin, d.log))) })
 	return func() {
 		server.Close()
 		_ = d.tasks.Wait()
--- a/internal/httpserver/accept_test.go
+++ b/internal/httpserver/accept_test.go
@@ -70,3 +70,23 @@
 		t.Error("a closed listener ends the server without an error")
 	}
 }
+
+// Servers that end at the first error of a listener, as net/http's does, go on as well.
+func TestRetryingListenerFailsOnlyForGood(t *testing.T) {
+	inner := listenFailing(t, transientAcceptErrors...)
+	l := NewRetryingListener(inner, slog.New(slog.DiscardHandler))
+	client, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	nc, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	nc.Close()
+	l.Close()
+	if _, err := l.Accept(); !isFinalAcceptError(err) {
+		t.Errorf("a closed listener: %v", err)
+	}
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -3,7 +3,6 @@
 package httpserver
 
 import (
-	"errors"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -20,10 +19,6 @@
 
 	writeTimeout = 5 * time.Second
 	idleTimeout  = 5 * time.Minute
-
-	// Backoff between two failures to accept a connection.
-	minAcceptBackoff = 5 * time.Millisecond
-	maxAcceptBackoff = time.Second
 )
 
 // Server serves the connections of clients. Its methods are safe for concurrent use unless they say
@@ -69,29 +64,18 @@
 // StopDraining undoes StartDraining.
 func (s *Server) StopDraining() { s.draining.Store(false) }
 
-// Serve accepts connections and serves each in a goroutine of its own. It returns the listener's
-// error, which is net.ErrClosed once the listener is closed.
+// Serve accepts connections and serves each in a goroutine of its own. It returns the first error
+// after which the listener can never accept again, which is net.ErrClosed once it is closed.
 func (s *Server) Serve(l *Listener) error {
-	backoff := time.Duration(0)
+	backoff := acceptBackoff{log: s.log}
 	for {
 		nc, err := l.Accept()
 		switch {
 		case err == nil:
-			backoff = 0
+			backoff.reset()
 			go s.serveConn(l, nc.(*trackedConn))
-		case isTemporary(err):
-			backoff = min(max(2*backoff, minAcceptBackoff), maxAcceptBackoff)
-			s.log.Warn("accept failed", "err", err, "retry_in", backoff)
-			time.Sleep(backoff)
-		default:
+		case !backoff.wait(err):
 			return err
 		}
 	}
 }
-
-// isTemporary reports whether accepting can succeed later. Most such errors are a lack of file
-// descriptors.
-func isTemporary(err error) bool {
-	var temporary interface{ Temporary() bool }
-	return errors.As(err, &temporary) && temporary.Temporary()
-}
