A process that registers comes after all that have, whatever the wall clock says

Cause: presence files sort by wall time (hotrestart.newStamp): beside a process that had registered while the clock was an hour ahead, a new one took that for its successor, paused, and the old one never learned that it had one. Change: Register takes the later of the clock and the latest stamp in the directory plus one. The names keep their form, so that the version before reads them. The calls rename, create and lock of the package can fail in tests; an error of a lock that says nothing of a process (ENOLCK, EIO) or of an open (ENFILE) is returned, and no longer passes for a live or dead peer.

--- a/internal/hotrestart/presence.go
+++ b/internal/hotrestart/presence.go
@@ -1,7 +1,10 @@
 package hotrestart
 
 import (
+	"errors"
 	"fmt"
+	"io/fs"
+	"math"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -17,7 +20,7 @@
 // The owner holds an exclusive flock on the file for as long as it lives: the kernel releases the
 // lock at its death, however it dies, and no child inherits the descriptor. Peers therefore take a
 // file that they can lock for that of a dead process. Peers ignore the status registering, in which
-// the lock is not held yet.
+// the lock is not held yet; only the order of processes goes by it as well.
 //
 // The owner removes its file in Unregister. The file of a process that was killed is removed by the
 // first peer that finds it unlocked.
@@ -35,26 +38,27 @@
 // startDigits is the width of the start time in a stamp, such that stamps sort by time.
 const startDigits = 20
 
-// newStamp returns the identity of this process among its peers. Stamps sort by start time.
-func newStamp(started time.Time) string {
-	return fmt.Sprintf("%0*d-%d", startDigits, started.UnixNano(), os.Getpid())
+// newStamp returns the identity of this process among its peers. Stamps sort by start time, which
+// is in ns of Unix time.
+func newStamp(started uint64) string {
+	return fmt.Sprintf("%0*d-%d", startDigits, started, os.Getpid())
 }
 
-// isStamp reports whether newStamp can have returned the text. Foreign files must not count as
-// processes.
-func isStamp(text string) bool {
-	started, pid, ok := strings.Cut(text, "-")
-	_, startedErr := strconv.ParseUint(started, 10, 64)
+// parseStamp returns the start time of a stamp. It reports false for what newStamp can't have
+// returned: foreign files must not count as processes.
+func parseStamp(text string) (started uint64, ok bool) {
+	digits, pid, ok := strings.Cut(text, "-")
+	started, startedErr := strconv.ParseUint(digits, 10, 64)
 	_, pidErr := strconv.ParseUint(pid, 10, 32)
-	return ok && startedErr == nil && pidErr == nil && len(started) == startDigits
+	return started, ok && startedErr == nil && pidErr == nil && len(digits) == startDigits
 }
 
-// parsePresenceName splits the name of a presence file. It reports false for other files, and for
-// those of processes that are still registering.
+// parsePresenceName splits the name of a presence file. It reports false for other files.
 func parsePresenceName(name string) (s status, stamp string, ok bool) {
-	for _, s := range []status{statusServing, statusStarting} {
+	for _, s := range []status{statusServing, statusStarting, statusRegistering} {
 		if stamp, ok := strings.CutPrefix(name, string(s)); ok {
-			return s, stamp, isStamp(stamp)
+			_, ok = parseStamp(stamp)
+			return s, stamp, ok
 		}
 	}
 	return "", "", false
@@ -70,19 +74,24 @@
 }
 
 // Register makes this process visible to the others, until it calls Unregister or ends. Processes
-// are ordered by the time at which they started.
+// are ordered by the time at which they started, and a process that registers comes after all that
+// have registered before, even if the clock was set back meanwhile.
 func (d *SharedDir) Register(started time.Time) (*Presence, error) {
-	p := &Presence{dir: d, stamp: newStamp(started)}
+	latest, err := d.latestStart()
+	if err != nil {
+		return nil, err
+	}
+	p := &Presence{dir: d, stamp: newStamp(max(uint64(started.UnixNano()), latest+1))}
 	path := p.pathFor(statusRegistering)
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR|syscall.O_CLOEXEC, 0o600)
 	if err != nil {
 		return nil, wrapError(err)
 	}
-	if err := tryLock(file); err != nil {
-		file.Close()
+	p.file, p.path = file, path
+	if err := d.files.lock(file); err != nil {
+		p.Unregister()
 		return nil, wrapError(err)
 	}
-	p.file, p.path = file, path
 	if err := p.setStatus(statusStarting); err != nil {
 		p.Unregister()
 		return nil, err
@@ -90,6 +99,23 @@
 	return p, nil
 }
 
+// latestStart returns the latest start time of the presence files, 0 if there is none. Those of
+// dead processes count as well: they do no harm, and a look at their locks could fail.
+func (d *SharedDir) latestStart() (uint64, error) {
+	files, err := os.ReadDir(d.path)
+	if err != nil {
+		return 0, wrapError(err)
+	}
+	var latest uint64
+	for _, file := range files {
+		if _, stamp, ok := parsePresenceName(file.Name()); ok {
+			started, _ := parseStamp(stamp)
+			latest = max(latest, started)
+		}
+	}
+	return min(latest, math.MaxUint64-1), nil
+}
+
 // MarkServing lets the others see that this process serves requests.
 func (p *Presence) MarkServing() error { return p.setStatus(statusServing) }
 
@@ -100,7 +126,7 @@
 // setStatus renames the presence file. The lock is on the open file and stays.
 func (p *Presence) setStatus(s status) error {
 	path := p.pathFor(s)
-	if err := os.Rename(p.path, path); err != nil {
+	if err := p.dir.files.rename(p.path, path); err != nil {
 		return wrapError(err)
 	}
 	p.path = path
@@ -119,22 +145,25 @@
 	Successor bool // there is one that started later than this process, and serves
 }
 
-// Peers reads the shared directory. It removes the files of processes that have ended.
+// Peers reads the shared directory. It removes the files of processes that have ended. With an
+// error nothing is known: a failure of this machine must not pass for the death of a process.
 func (p *Presence) Peers() (Peers, error) {
-	var peers Peers
 	files, err := os.ReadDir(p.dir.path)
 	if err != nil {
-		return peers, wrapError(err)
+		return Peers{}, wrapError(err)
 	}
+	var peers Peers
 	for _, file := range files {
 		status, stamp, ok := parsePresenceName(file.Name())
-		if !ok || stamp == p.stamp || !p.dir.isAlive(file.Name()) {
+		if !ok || status == statusRegistering || stamp == p.stamp {
 			continue
 		}
-		peers.Alive = true
-		if status == statusServing && stamp > p.stamp {
-			peers.Successor = true
+		alive, err := p.dir.isAlive(file.Name())
+		if err != nil {
+			return Peers{}, wrapError(err)
 		}
+		peers.Alive = peers.Alive || alive
+		peers.Successor = peers.Successor || alive && status == statusServing && stamp > p.stamp
 	}
 	return peers, nil
 }
@@ -142,21 +171,33 @@
 // isAlive reports whether the process of a presence file is running. It removes the file if not.
 // Where two peers check the file of a dead process at once, one of them takes it for running in
 // this call.
-func (d *SharedDir) isAlive(name string) bool {
+func (d *SharedDir) isAlive(name string) (bool, error) {
 	path := filepath.Join(d.path, name)
 	file, err := os.OpenFile(path, os.O_RDWR|syscall.O_CLOEXEC, 0)
+	if errors.Is(err, fs.ErrNotExist) {
+		return false, nil // it was removed or renamed meanwhile: the next call of Peers sees which
+	}
 	if err != nil {
-		return false // it was removed or renamed meanwhile: the next call of Peers sees which
+		return false, err
 	}
 	defer file.Close() // releases the lock, if this process got it
-	if tryLock(file) != nil {
-		return true
+	switch err := d.files.lock(file); {
+	case errors.Is(err, syscall.EWOULDBLOCK):
+		return true, nil
+	case err != nil:
+		return false, err
 	}
 	_ = os.Remove(path) // where that fails, the next call of Peers tries again
-	return false
+	return false, nil
 }
 
-// tryLock takes an exclusive lock on a file, or fails at once if another process has it.
+// tryLock takes an exclusive lock on a file, or fails at once: with EWOULDBLOCK if another process
+// has it.
 func tryLock(file *os.File) error {
-	return syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	for {
+		err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+		if !errors.Is(err, syscall.EINTR) {
+			return err
+		}
+	}
 }
--- a/internal/hotrestart/presence_test.go
+++ b/internal/hotrestart/presence_test.go
@@ -1,6 +1,7 @@
 package hotrestart
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -138,3 +139,39 @@
 	expectPeers(t, "the second", second, Peers{Alive: true, Successor: true})
 	expectPeers(t, "the third", third, Peers{Alive: true})
 }
+
+// A failure of this machine is no death of a process: with an error nothing is known of the peers.
+func TestFailedLockIsNoDeath(t *testing.T) {
+	dir := openSharedDir(t)
+	first, second := register(t, dir, 1), register(t, dir, 2)
+	defer first.Unregister()
+	defer second.Unregister()
+	for _, failure := range []error{syscall.ENOLCK, syscall.EIO} {
+		dir.files.lock = func(*os.File) error { return failure }
+		if peers, err := first.Peers(); !errors.Is(err, failure) {
+			t.Errorf("%v: %+v, %v", failure, peers, err)
+		}
+	}
+	dir.files.lock = tryLock
+	expectPeers(t, "after the failures", first, Peers{Alive: true})
+}
+
+// Registering fails for a while, and leaves nothing behind.
+func TestRegisterCanBeTriedAgain(t *testing.T) {
+	for name, fail := range map[string]func(*fileCalls){
+		"lock":   func(f *fileCalls) { f.lock = func(*os.File) error { return syscall.ENOLCK } },
+		"rename": func(f *fileCalls) { f.rename = func(string, string) error { return syscall.ENOSPC } },
+	} {
+		dir := openSharedDir(t)
+		working := dir.files
+		fail(&dir.files)
+		if _, err := dir.Register(time.Now()); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+		if left, err := os.ReadDir(dir.path); err != nil || len(left) != 1 { // that of disabled endpoints
+			t.Errorf("%s: left in the directory: %v, %v", name, left, err)
+		}
+		dir.files = working
+		register(t, dir, 1).Unregister()
+	}
+}
--- a/internal/hotrestart/shareddir.go
+++ b/internal/hotrestart/shareddir.go
@@ -27,17 +27,46 @@
 // hexadecimal form has to fit a file name.
 const maxDisabledID = 120
 
-// SharedDir is the directory that the processes of one sidecar share.
-type SharedDir struct{ path string }
+// SharedDir is the directory that the processes of one sidecar share. It may fail for a while, as a
+// full disk does: all its methods can be called again.
+type SharedDir struct {
+	path  string
+	files fileCalls
+}
+
+// fileCalls are the calls of the file system that tests let fail.
+type fileCalls struct {
+	rename func(from, to string) error
+	create func(path string) (*os.File, error) // opens a file for writing, and creates it unless it exists
+	lock   func(file *os.File) error           // see tryLock
+}
+
+// NewSharedDir returns the shared directory of the sidecar of that name, which need not exist yet.
+// The parent is a directory that all processes of the sidecar have in common.
+func NewSharedDir(parent, name string) *SharedDir {
+	return &SharedDir{
+		path:  filepath.Join(parent, sharedDirPrefix+url.PathEscape(name)),
+		files: fileCalls{rename: os.Rename, create: createFile, lock: tryLock},
+	}
+}
 
-// OpenSharedDir creates the shared directory of the sidecar of that name unless it exists. The
-// parent is a directory that all processes of the sidecar have in common.
+// OpenSharedDir returns the shared directory of the sidecar of that name, created.
 func OpenSharedDir(parent, name string) (*SharedDir, error) {
-	d := &SharedDir{filepath.Join(parent, sharedDirPrefix+url.PathEscape(name))}
+	d := NewSharedDir(parent, name)
+	return d, d.Create()
+}
+
+// Create creates the directory unless it exists.
+func (d *SharedDir) Create() error {
 	if err := os.MkdirAll(filepath.Join(d.path, disabledDir), 0o700); err != nil {
-		return nil, wrapError(err)
+		return wrapError(err)
 	}
-	return d, nil
+	return nil
+}
+
+// createFile implements fileCalls.create.
+func createFile(path string) (*os.File, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_WRONLY|syscall.O_CLOEXEC, 0o600)
 }
 
 // SnapshotPath returns the path of the snapshot of learned state. The predecessor writes it and its
@@ -54,7 +83,7 @@
 	if len(id) > maxDisabledID {
 		return wrapError(fmt.Errorf("an id of more than %d bytes", maxDisabledID))
 	}
-	f, err := os.OpenFile(d.disabledPath(id), os.O_CREATE|os.O_WRONLY|syscall.O_CLOEXEC, 0o600)
+	f, err := d.files.create(d.disabledPath(id))
 	if err != nil {
 		return wrapError(err)
 	}
