What fails in the shared directory is tried again, and no request goes out before the bans are known

A ban that could not be stored was not in force either. Change: registering, marking as serving, bans and peers are tried again at each check (0.1 s). Serve waits for the bans up to 5 s (a successor has 6 s to be ready) where the directory can't be read. A ban that can't be stored is in force at once, is answered FAILURE with that reason, and is stored as soon as the directory works.

--- a/internal/hotrestart/shareddir.go
+++ b/internal/hotrestart/shareddir.go
@@ -27,6 +27,9 @@
 // hexadecimal form has to fit a file name.
 const maxDisabledID = 120
 
+// ErrIDTooLong says that an endpoint's ID does not fit a file name: it can't be disabled.
+var ErrIDTooLong = fmt.Errorf("an id of more than %d bytes", maxDisabledID)
+
 // SharedDir is the directory that the processes of one sidecar share. It may fail for a while, as a
 // full disk does: all its methods can be called again.
 type SharedDir struct {
@@ -81,7 +84,7 @@
 // Disable records that an endpoint is disabled. It may be recorded already.
 func (d *SharedDir) Disable(id string) error {
 	if len(id) > maxDisabledID {
-		return wrapError(fmt.Errorf("an id of more than %d bytes", maxDisabledID))
+		return wrapError(ErrIDTooLong)
 	}
 	f, err := d.files.create(d.disabledPath(id))
 	if err != nil {
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io/fs"
 	"log/slog"
 	"sync"
 	"time"
@@ -15,9 +16,11 @@
 	// peerCheckInterval is the time between two checks for other processes, and for endpoints that
 	// operators have disabled or enabled through them.
 	peerCheckInterval = 100 * time.Millisecond
-	// sharedDirWarnInterval is the least time between two warnings that the shared directory can't be
-	// read.
+	// sharedDirWarnInterval is the least time between two warnings that the shared directory fails.
 	sharedDirWarnInterval = 10 * time.Second
+	// bansTimeout is how long a start waits for a shared directory that can't be read: the operators
+	// may have disabled endpoints through a process before this one. A successor has 6 s to be ready.
+	bansTimeout = 5 * time.Second
 )
 
 // handoverPhase is where this process stands in the succession of processes of one sidecar.
@@ -67,10 +70,12 @@
 // follows which other processes run, pauses accepting while a successor serves, halves the limits
 // while two processes run, and hands the learned state on.
 //
-// Without a shared directory there are no other processes: presence and snapshots are nil.
+// The shared directory may fail for a while, at any time. Whatever has failed is tried again at each
+// peer check. Without a shared directory there are no other processes: sharedDir and snapshots are
+// nil.
 type handover struct {
 	limits     *limitEnforcer
-	presence   *hotrestart.Presence
+	sharedDir  *hotrestart.SharedDir
 	snapshots  *snapshotStore
 	server     *httpserver.Server
 	listener   *httpserver.Listener
@@ -78,55 +83,81 @@
 	readiness  *readiness
 	log        *slog.Logger
 
-	mu          sync.Mutex // held during a whole peer check, which reads files; guards what follows
-	phase       handoverPhase
-	peerRunning bool      // another process of the sidecar runs, serving or not
-	warnedAt    time.Time // when a failed check was last logged
+	mu            sync.Mutex           // held during a whole peer check, which reads files; guards what follows
+	presence      *hotrestart.Presence // nil: not registered yet
+	serving       bool                 // this process serves
+	markedServing bool                 // its presence says so
+	bansApplied   bool                 // the bans of the shared directory have been applied once
+	phase         handoverPhase
+	peerRunning   bool      // another process of the sidecar runs, serving or not
+	warnedAt      time.Time // when a failed check was last logged
 }
 
 // join registers this process with the others of the sidecar of that name, which share tempDir, and
-// applies the limits and the bans that are in force. Errors are logged and do not keep the process
-// from starting: it runs without a handover then. It must be called before any other method.
+// applies the limits and the bans that are in force. What fails is logged and tried again by run. It
+// must be called before any other method.
 func (h *handover) join(tempDir, name string) {
 	h.limits.apply(processesAlone)
 	if tempDir == "" {
 		return
 	}
-	sharedDir, presence, err := register(tempDir, name)
-	if err != nil {
-		h.log.Warn("nothing is shared with a successor", "err", err)
-		return
-	}
-	h.presence = presence
-	h.snapshots = &snapshotStore{path: sharedDir.SnapshotPath(), pool: h.limits.pool, log: h.log}
-	h.operations.sharedDir = sharedDir
+	h.sharedDir = hotrestart.NewSharedDir(tempDir, name)
+	h.snapshots = &snapshotStore{path: h.sharedDir.SnapshotPath(), pool: h.limits.pool, log: h.log}
+	h.operations.sharedDir = h.sharedDir
 	h.checkPeers()
 }
 
-// register opens the directory that the processes of one sidecar share within tempDir, and
-// registers this process there.
-func register(tempDir, name string) (*hotrestart.SharedDir, *hotrestart.Presence, error) {
-	sharedDir, err := hotrestart.OpenSharedDir(tempDir, name)
-	if err != nil {
-		return nil, nil, err
+// checkPeers applies what has changed since the latest check: processes that have come or gone, and
+// endpoints disabled or enabled through another process. What can't be read stays as it is.
+func (h *handover) checkPeers() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	err := h.updatePresenceLocked()
+	if bansErr := h.operations.syncBans(); bansErr == nil {
+		h.bansApplied = true
+	} else {
+		err = errors.Join(err, bansErr)
+	}
+	if h.presence != nil {
+		peers, peersErr := h.presence.Peers()
+		if peersErr == nil {
+			h.applyPeersLocked(peers)
+		}
+		err = errors.Join(err, peersErr)
 	}
-	presence, err := sharedDir.Register(time.Now())
 	if err != nil {
-		return nil, nil, err
+		h.warnFailedLocked(err)
 	}
-	return sharedDir, presence, nil
 }
 
-// checkPeers applies what has changed since the latest check: processes that have come or gone, and
-// endpoints disabled or enabled through another process. An error leaves all as it is.
-func (h *handover) checkPeers() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	peers, err := h.presence.Peers()
-	if err = errors.Join(err, h.operations.applySharedBans()); err != nil {
-		h.warnUnreadableLocked(err)
-		return
+// updatePresenceLocked registers this process, and marks it as serving once it does, unless that
+// has been done. The caller must hold h.mu.
+func (h *handover) updatePresenceLocked() error {
+	if h.presence == nil {
+		if err := h.sharedDir.Create(); err != nil {
+			return err
+		}
+		presence, err := h.sharedDir.Register(time.Now())
+		if err != nil {
+			return err
+		}
+		h.presence = presence
 	}
+	if h.serving && !h.markedServing {
+		if err := h.presence.MarkServing(); err != nil {
+			if errors.Is(err, fs.ErrNotExist) { // something has removed the file: the next check registers anew
+				h.presence.Unregister()
+				h.presence = nil
+			}
+			return err
+		}
+		h.markedServing = true
+	}
+	return nil
+}
+
+// applyPeersLocked applies which other processes run. The caller must hold h.mu.
+func (h *handover) applyPeersLocked(peers hotrestart.Peers) {
 	if peers.Alive != h.peerRunning {
 		h.setPeerRunningLocked(peers.Alive)
 	}
@@ -135,14 +166,14 @@
 	}
 }
 
-// warnUnreadableLocked logs that a check has failed, unless one was logged recently. The caller
+// warnFailedLocked logs that a check has failed, unless one was logged recently. The caller
 // must hold h.mu.
-func (h *handover) warnUnreadableLocked(err error) {
+func (h *handover) warnFailedLocked(err error) {
 	if time.Since(h.warnedAt) <= sharedDirWarnInterval {
 		return
 	}
 	h.warnedAt = time.Now()
-	h.log.Warn("cannot read what other processes share; keeping the current state", "err", err)
+	h.log.Warn("the shared directory fails; keeping the current state", "err", err)
 }
 
 // setPeerRunningLocked shares the limits with another process, or takes them back. The caller must
@@ -174,7 +205,7 @@
 // beginShutdown notes SIGTERM and reports whether a successor accepts the connections that still
 // come.
 func (h *handover) beginShutdown() (successorServes bool) {
-	if h.presence != nil {
+	if h.sharedDir != nil {
 		h.checkPeers() // the successor may have begun to serve since the latest check
 	}
 	h.mu.Lock()
@@ -197,6 +228,35 @@
 	return h.phase.isSuperseded()
 }
 
+// waitForBans returns once the bans that are in force have been applied, after bansTimeout, or when
+// stop is closed. It needs run. Until then no request may be forwarded.
+func (h *handover) waitForBans(stop <-chan struct{}) {
+	if h.sharedDir == nil {
+		return
+	}
+	timeout := time.NewTimer(bansTimeout)
+	defer timeout.Stop()
+	tick := time.NewTicker(peerCheckInterval)
+	defer tick.Stop()
+	for !h.hasBans() {
+		select {
+		case <-tick.C:
+		case <-stop:
+			return
+		case <-timeout.C:
+			h.log.Error("serving though the shared directory fails: endpoints that are disabled there are not known")
+			return
+		}
+	}
+}
+
+// hasBans reports whether the bans of the shared directory have been applied.
+func (h *handover) hasBans() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.bansApplied
+}
+
 // restoreSnapshot loads what the predecessor had learned. The endpoint list must have been
 // received.
 func (h *handover) restoreSnapshot() {
@@ -205,22 +265,29 @@
 	}
 }
 
-// markServing notifies the predecessor that this process serves.
+// markServing notifies the predecessor that this process serves. Where that fails, the next checks
+// try again.
 func (h *handover) markServing() {
-	if h.presence == nil {
+	if h.sharedDir == nil {
 		return
 	}
-	if err := h.presence.MarkServing(); err != nil {
-		h.log.Warn("cannot notify the predecessor that this process serves", "err", err)
+	h.mu.Lock()
+	h.serving = true
+	h.mu.Unlock()
+	h.checkPeers()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.markedServing {
+		h.log.Warn("cannot notify the predecessor that this process serves")
 	}
 }
 
 // run checks for peers and writes snapshots until ctx ends, then unregisters this process.
 func (h *handover) run(ctx context.Context) {
-	if h.presence == nil {
+	if h.sharedDir == nil {
 		return
 	}
-	defer h.presence.Unregister()
+	defer h.unregister()
 	tick := time.NewTicker(peerCheckInterval)
 	defer tick.Stop()
 	for {
@@ -231,11 +298,22 @@
 		}
 		h.checkPeers()
 		if err := h.writeSnapshotIfDue(); err != nil {
-			h.log.Warn("cannot write the learned state", "err", err)
+			h.mu.Lock()
+			h.warnFailedLocked(err)
+			h.mu.Unlock()
 		}
 	}
 }
 
+// unregister removes this process from those that run.
+func (h *handover) unregister() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.presence != nil {
+		h.presence.Unregister()
+	}
+}
+
 // writeSnapshotIfDue writes a snapshot at each interval. It writes none before this process serves,
 // as it may not have restored its predecessor's yet, and none once a successor serves, which writes
 // its own.
--- a/internal/sidecar/operations.go
+++ b/internal/sidecar/operations.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -21,6 +22,7 @@
 
 	mu            sync.Mutex      // held while a ban changes; requests do not wait for it
 	disabled      map[string]bool // the endpoints that operators have disabled, by id
+	unstored      map[string]bool // of these, the ones that the shared directory does not have yet
 	warnedForeign bool            // files in the shared directory that stand for no ban have been logged
 }
 
@@ -37,23 +39,30 @@
 	})
 }
 
-// Disable implements admin.Operations. Once it returns nil the ban is in force here and outlives
-// this process.
+// Disable implements admin.Operations. Once it returns, the ban is in force here; with nil it also
+// outlives this process. A ban that could not be stored is stored as soon as the shared directory
+// allows it.
 func (o *operations) Disable(id string) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if err := o.checkKnownLocked(id); err != nil {
 		return err
 	}
+	var err error
 	if o.sharedDir != nil {
-		if err := o.sharedDir.Disable(id); err != nil {
-			return err
-		}
+		err = o.sharedDir.Disable(id)
+	}
+	if errors.Is(err, hotrestart.ErrIDTooLong) {
+		return err
+	}
+	if err != nil {
+		o.unstored[id] = true
+		err = fmt.Errorf("%q is out in this process, and not stored yet: %w", id, err)
 	}
 	if !o.disabled[id] {
 		o.disableLocked(id)
 	}
-	return nil
+	return err
 }
 
 // Enable implements admin.Operations.
@@ -68,6 +77,7 @@
 			return err
 		}
 	}
+	delete(o.unstored, id)
 	if o.disabled[id] {
 		o.enableLocked(id)
 	}
@@ -97,12 +107,18 @@
 	o.log.Info("endpoint enabled by an operator", "id", id)
 }
 
-// applySharedBans applies the bans that other processes of the sidecar have been told of, and lifts
-// those that are gone. An error changes nothing. It must only be called where there is a shared
-// directory.
-func (o *operations) applySharedBans() error {
+// syncBans stores the bans that could not be stored before, applies those that other processes of
+// the sidecar have been told of, and lifts those that are gone. With an error nothing is lifted or
+// applied. It must only be called where there is a shared directory.
+func (o *operations) syncBans() error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	for id := range o.unstored {
+		if err := o.sharedDir.Disable(id); err != nil {
+			return err
+		}
+		delete(o.unstored, id)
+	}
 	ids, foreign, err := o.sharedDir.Disabled()
 	if err != nil {
 		return err
--- a/internal/sidecar/shareddir_test.go
+++ b/internal/sidecar/shareddir_test.go
@@ -59,3 +59,37 @@
 		t.Errorf("%d requests went to the endpoint that is out", n)
 	}
 }
+
+// The shared directory fails from the first moment on, and while operators disable an endpoint: the
+// ban is in force at once, and is stored as soon as the directory works.
+func TestBanIsStoredOnceSharedDirWorks(t *testing.T) {
+	a, b := newEndpoint(t, respondWith(okResponse, true)), newEndpoint(t, respondWith(okResponse, true))
+	sharedDir := t.TempDir()
+	endpoints := []string{endpointJSON("a", a.Addr, "Ready"), endpointJSON("b", b.Addr, "Ready")}
+	first := testOptions{sharedDir: sharedDir, endpoints: endpoints}.start(t)
+	waitUntil(t, "it serves", func() bool { return first.readiness.accepting.Load() })
+	mend := breakSharedDir(t, sharedDir)
+	first.requireFailure(t, "disable-server a")
+	for i := range 6 {
+		first.get(t, "/look", fmt.Sprint("unstored", i), 60000)
+	}
+	mend()
+	bans := filepath.Join(sharedDir, "rowancart-", "bans")
+	waitUntil(t, "the ban is stored", func() bool {
+		files, err := os.ReadDir(bans)
+		return err == nil && len(files) == 1
+	})
+	first.terminate()
+	first.waitForServeResult(t)
+	second := testOptions{sharedDir: sharedDir, endpoints: endpoints}.start(t)
+	for i := range 6 {
+		second.get(t, "/look", fmt.Sprint("stored", i), 60000)
+	}
+	if n := a.Requests.Load(); n != 0 {
+		t.Errorf("%d requests went to the endpoint that is out", n)
+	}
+	second.requireSuccess(t, "enable-server a")
+	if files, err := os.ReadDir(bans); err != nil || len(files) != 0 {
+		t.Errorf("after the call back: %v, %v", files, err)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -63,6 +63,7 @@
 		readiness: s.readiness,
 		log:       log,
 		disabled:  map[string]bool{},
+		unstored:  map[string]bool{},
 	}
 	s.joinPeers(c, operations, log)
 	if operators != nil {
