A retry under an idempotency key is written before the key's window ends, or never

Cause: balancer.mayRepeatAt looked at the window when the retry was decided, with 10 ms to spare; connpool.checkBeforeWrite did not look again, though the connection may come up late and the process be held up for 0.15 s. For a long body the window counted from the end of its writing. Change: Balancer.RetryDeadline says by when a retry has to be written, 0.15 s before the window's end and counted from the first send; connpool holds the first byte and the whole write to it (Attempt.WriteBy). What comes too late ends as not sent, and the Balancer decides.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -121,7 +121,9 @@
 	if e.active {
 		b.chargeDeficit(req, e)
 	}
-	a := attempt{endpoint: e, sentAt: now, inFlight: true, trial: !e.active, stragglingAt: now + straggling}
+	a := attempt{
+		endpoint: e, startedAt: now, sentAt: now, inFlight: true, trial: !e.active, stragglingAt: now + straggling,
+	}
 	if req.Streamed {
 		a.stragglingAt = req.Deadline // its endpoint does not have all of it yet
 	}
--- a/balancer/requests.go
+++ b/balancer/requests.go
@@ -10,7 +10,8 @@
 // attempt is one Host.Send.
 type attempt struct {
 	endpoint      *endpoint
-	sentAt        time.Duration
+	startedAt     time.Duration // Host.Send
+	sentAt        time.Duration // the same, or the end of a long request's writing
 	stragglingAt  time.Duration // when it counts as straggling
 	inFlight      bool          // no outcome yet
 	mayHaveRun    bool          // it ended, and its endpoint may have run the request
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -8,7 +8,13 @@
 	"time"
 )
 
-const maxBudgetExemptAttempts = 3 // attempts beside the retry budget that one request may bring
+const (
+	maxBudgetExemptAttempts = 3 // attempts beside the retry budget that one request may bring
+
+	// keyWindowMargin is how long before the end of a key's window a request is sent again at the
+	// latest: the host may be held up for that long between reading its clock and writing.
+	keyWindowMargin = 150 * time.Millisecond
+)
 
 // retry sends a request again whose last attempt has ended without success, or answers it.
 func (b *Balancer) retry(now time.Duration, req *request, exempt bool) {
@@ -79,7 +85,7 @@
 		if !a.mayHaveRun || c.Repeat == Idempotent && !c.NeverRerun {
 			continue
 		}
-		if c.Repeat == NonIdempotent || c.NeverRerun || now+2*b.settings.Resolution >= a.sentAt+c.KeyWindow ||
+		if c.Repeat == NonIdempotent || c.NeverRerun || now+b.keyWindowMargin() >= a.startedAt+c.KeyWindow ||
 			c.KeyScope == KeyScopeZone && a.endpoint.Zone != e.Zone ||
 			c.KeyScope == KeyScopeCell && a.endpoint.Cell != e.Cell {
 			return false
@@ -88,6 +94,27 @@
 	return true
 }
 
+// keyWindowMargin returns how long before the end of a key's window the last retry may be decided.
+func (b *Balancer) keyWindowMargin() time.Duration {
+	return max(2*b.settings.Resolution, keyWindowMargin)
+}
+
+// RetryDeadline returns the instant by which a retry of a request has to have been written, however
+// late its connection comes up: what comes after the window of its key takes effect once more. It is
+// 0 where there is no such instant.
+func (b *Balancer) RetryDeadline(id string) time.Duration {
+	req := b.requests[id]
+	if req == nil || req.class.Repeat != IdempotencyKeyed {
+		return 0
+	}
+	for i := range req.attempts {
+		if a := &req.attempts[i]; a.mayHaveRun { // the first one decides: its window ends first
+			return a.startedAt + req.class.KeyWindow - b.keyWindowMargin()
+		}
+	}
+	return 0
+}
+
 // mayReject reports whether the client can be told truthfully that a repeat is harmless.
 func (r *request) mayReject() bool {
 	keyedEverywhere := r.class.Repeat == IdempotencyKeyed && r.class.KeyScope == KeyScopeAll
--- a/balancer/retry_test.go
+++ b/balancer/retry_test.go
@@ -84,3 +84,40 @@
 		}
 	}
 }
+
+// The window of a key counts from the first attempt that may have run, from when it was sent and not
+// from when the last byte of a long body went out. A retry is written well before its end.
+func TestRetryDeadlineCountsFromTheFirstSend(t *testing.T) {
+	s := balancer.Settings{CancelAllowed: true, Classes: []balancer.Class{{Name: "keyed", Repeat: balancer.IdempotencyKeyed,
+		KeyWindow: time.Second, LatencyObjective: 10 * time.Second}}}
+	h := &sendRecorder{}
+	b := balancer.New(0, s, h)
+	b.EndpointList(0, balancer.EndpointList{Complete: true, Entries: []balancer.Endpoint{{ID: "a"}, {ID: "b"}}})
+	b.Request(0, balancer.Request{ID: "r", Class: "keyed", Deadline: 20 * time.Second, Streamed: true})
+	if at := b.RetryDeadline("r"); at != 0 {
+		t.Errorf("before anything may have run: %v", at)
+	}
+	b.RequestWritten(700*ms, "r", 0)
+	b.Outcome(800*ms, balancer.Outcome{ID: "r", Endpoint: h.sent[0], Result: balancer.Reset})
+	if at := b.RetryDeadline("r"); at != 850*ms {
+		t.Errorf("the retry has to be written by %v", at)
+	}
+	if len(h.sent) != 2 {
+		t.Fatalf("sent %q", h.sent)
+	}
+	b.Outcome(860*ms, balancer.Outcome{ID: "r", Attempt: 1, Endpoint: h.sent[1], Result: balancer.NotSent})
+	if len(h.sent) != 2 {
+		t.Errorf("sent once more at the end of the window: %q", h.sent)
+	}
+}
+
+// sendRecorder is a host that records the endpoints of attempts.
+type sendRecorder struct{ sent []string }
+
+func (h *sendRecorder) Send(_, endpoint string, _ time.Duration)      { h.sent = append(h.sent, endpoint) }
+func (h *sendRecorder) Cancel(string, int)                            {}
+func (h *sendRecorder) Reject(string, balancer.Reason, time.Duration) {}
+func (h *sendRecorder) Fail(string, balancer.Reason)                  {}
+func (h *sendRecorder) Subscribe()                                    {}
+func (h *sendRecorder) Timer(time.Duration)                           {}
+func (h *sendRecorder) Log(string)                                    {}
--- a/internal/connpool/cancel.go
+++ b/internal/connpool/cancel.go
@@ -17,6 +17,7 @@
 // the attempt goes on.
 type Attempt struct {
 	Deadline         time.Time
+	WriteBy          time.Time   // by when the request must have been written completely; zero: by Deadline
 	OnRequestWritten func()      // called when a request with an Upload has been written completely; nil: nothing
 	ClientGone       func() bool // reports whether the client has disconnected; nil: unknown. It must not block
 
--- a/internal/connpool/errors.go
+++ b/internal/connpool/errors.go
@@ -69,6 +69,7 @@
 // The causes of failed attempts.
 var (
 	errEndpointRemoved    = errors.New("endpoint was removed or drained before anything was sent")
+	errTooLateToWrite     = errors.New("the time to send it again was over before anything was sent")
 	errClientDisconnected = errors.New("client disconnected before anything was sent")
 	errStaleConn          = errors.New("connection was closed or written to before anything was sent")
 	errWriteFailed        = errors.New("connection broke before the request was written completely")
--- a/internal/connpool/exchange.go
+++ b/internal/connpool/exchange.go
@@ -74,7 +74,8 @@
 // checkBeforeWrite returns why a request may not be written to a connection now, or nil. It is the
 // last check before the first byte: while the connection came up, or its quarantine passed, the
 // endpoint list or the operators may have taken the endpoint out, the endpoint may have closed the
-// connection or begun to write, and the client may have disconnected. What is sent from here on was
+// connection or begun to write, the time for a retry may be over, and the client may have
+// disconnected. What is sent from here on was
 // right when it was sent.
 //
 // Only the look at the endpoint takes mu. ClientGone and the look at the socket come after, without
@@ -86,6 +87,8 @@
 	switch {
 	case !current:
 		return errEndpointRemoved
+	case !a.WriteBy.IsZero() && (time.Now().After(a.WriteBy) || c.SetWriteDeadline(a.WriteBy) != nil):
+		return errTooLateToWrite
 	case a.ClientGone != nil && a.ClientGone():
 		return errClientDisconnected
 	case c.hasPendingInput():
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -37,6 +37,9 @@
 	a := &attempt{call: c, number: len(c.attempts), endpoint: endpoint, sentAt: now}
 	a.control.ClientGone = c.ClientGone
 	a.control.Deadline = time.Now().Add(min(timeout, c.Deadline-now))
+	if retryBy := p.balancer.RetryDeadline(c.ID); retryBy > 0 {
+		a.control.WriteBy = time.Now().Add(retryBy - now)
+	}
 	if c.Streamed {
 		a.control.OnRequestWritten = func() {
 			p.handleEvent(func(now time.Duration) { p.reportRequestWritten(now, a) })
