A request's time counts from when it arrived, wherever it waited to be read

Cause: conn.forward took the time of reading for that of the request's last byte, so that what stood behind another request, or on a connection that nobody had accepted yet, had its endpoint told more than its client had left, and was answered late. Change: connReader notes when data has arrived: the read, less the time for which nothing has come (TCP_INFO, tcpi_last_data_recv; 0 where the kernel does not tell).

--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -42,8 +42,9 @@
 			s.log.Error("a request failed", "cause", cause, "stack", string(debug.Stack()))
 		}
 	}()
-	c := &conn{server: s, netConn: nc, reader: connReader{Conn: nc}, requestStart: nc.since}
+	c := &conn{server: s, netConn: nc, requestStart: nc.since}
 	c.disconnect.attach(nc.Conn)
+	c.reader = connReader{Conn: nc, unreadAge: c.disconnect.unreadAge}
 	if nc.SetReadDeadline(deadlineAfter(requestHeadTimeout)) != nil || c.reader.fill() != nil {
 		return
 	}
@@ -144,7 +145,7 @@
 		defer func() { target.Done(f.started, f.result) }()
 	}
 	message := &proxy.RequestMessage{Body: body.data, Release: body.releaseData}
-	received := time.Now() // a request's time counts from its last byte
+	received := c.reader.arrivedAt // a request's time counts from its last byte
 	call, rejection := c.server.newCall(r, target, message, body.streamed != nil, received)
 	if rejection != nil {
 		return c.rejectUnread(r, body, rejection)
--- a/internal/httpserver/connreader.go
+++ b/internal/httpserver/connreader.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"net"
+	"time"
 
 	"rowancart/internal/proxy"
 )
@@ -28,8 +29,23 @@
 // allowed.
 type connReader struct {
 	net.Conn
+	unreadAge  func() time.Duration // of the connection, see disconnectWatcher; nil: unknown
 	buf        []byte
-	start, end int // of the data in buf that is not consumed
+	start, end int       // of the data in buf that is not consumed
+	arrivedAt  time.Time // when the latest data that was read had arrived
+}
+
+// Read implements net.Conn and notes when the data has arrived: it may have waited to be read, for
+// this process to accept the connection or to serve the request before it.
+func (r *connReader) Read(p []byte) (int, error) {
+	n, err := r.Conn.Read(p)
+	if n > 0 {
+		r.arrivedAt = time.Now()
+		if r.unreadAge != nil {
+			r.arrivedAt = r.arrivedAt.Add(-r.unreadAge())
+		}
+	}
+	return n, err
 }
 
 // buffered returns the data that has been read and not consumed. It is valid until the next read.
@@ -48,7 +64,7 @@
 // arrived.
 func (r *connReader) readFirstByte() bool {
 	var first [1]byte
-	if n, _ := r.Conn.Read(first[:]); n == 0 {
+	if n, _ := r.Read(first[:]); n == 0 {
 		return false
 	}
 	r.buf = append(make([]byte, 0, initialBufferSize), first[0])[:initialBufferSize]
@@ -64,7 +80,7 @@
 	if r.end == len(r.buf) {
 		r.makeSpace()
 	}
-	n, err := r.Conn.Read(r.buf[r.end:])
+	n, err := r.Read(r.buf[r.end:])
 	r.end += n
 	if n > 0 {
 		return nil
--- a/internal/httpserver/requestbody.go
+++ b/internal/httpserver/requestbody.go
@@ -53,7 +53,7 @@
 	if err := s.reader.Conn.SetReadDeadline(s.pace.nextDeadline()); err != nil {
 		return 0, err
 	}
-	n, err := s.reader.Conn.Read(p)
+	n, err := s.reader.Read(p)
 	s.pace.lastRead = time.Now()
 	if n > 0 {
 		return n, nil
