A slow start is a span of real time, however the wall clock is stepped

Cause: proxy.clock took listed starts for instants by the wall clock at the process's start alone: a start in the future kept an endpoint cold until then, one from before a step back passed for long ago and so for warm, and connections were compared by wall time. Change: startTimes (internal/proxy): by both offsets where the clock was stepped, never in the future, and as of now where a start went back or an endpoint is listed as old that was not listed a moment ago. connpool gets the start with a monotonic reading.

--- a/internal/proxy/clock_test.go
+++ b/internal/proxy/clock_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -45,3 +46,48 @@
 		t.Errorf("told of a restart by a clock that was set back: warmth %v", w)
 	}
 }
+
+// The wall clock is stepped by an hour while this process runs, here alone or everywhere: an
+// endpoint that has just started never counts as one that started long ago.
+func TestStepOfTheWallClockMakesNoEndpointOld(t *testing.T) {
+	for name, step := range map[string]time.Duration{"forward": time.Hour, "back": -time.Hour, "by seconds": 3 * time.Second} {
+		for where, listedBy := range map[string]time.Duration{"here": 0, "everywhere": step} {
+			c := clock{started: time.Now(), wall: func() time.Time { return time.Now().Add(step) }}
+			starts := startTimes{clock: c, byID: map[string]listedStart{}}
+			now := c.now()
+			listed := time.Now().Add(listedBy).UnixMilli()
+			at := starts.instant(now, "a", listed)
+			if age := now - at; age < 0 || age > time.Second {
+				t.Errorf("%s, %s: it counts as %v old", name, where, age)
+			}
+			if again := starts.instant(now+time.Minute, "a", listed); again != at {
+				t.Errorf("%s, %s: the same start is another instant, %v later", name, where, again-at)
+			}
+		}
+	}
+}
+
+// The clock was wrong when this process began: what endpoint discovery had not listed a moment ago
+// has not started an hour ago. An endpoint of the first list may have.
+func TestUnlistedEndpointIsNotOld(t *testing.T) {
+	c := clock{started: time.Now().Add(-time.Minute)}
+	starts := startTimes{clock: c, byID: map[string]listedStart{}}
+	now := c.now()
+	hourAgo := time.Now().Add(-time.Hour).UnixMilli()
+	if age := now - starts.instant(now, "first", hourAgo); age < time.Minute {
+		t.Errorf("an endpoint of the first list counts as %v old", age)
+	}
+	starts.currentAt = now
+	if age := now - starts.instant(now, "new", hourAgo); age != 0 {
+		t.Errorf("a new endpoint counts as %v old", age)
+	}
+	if age := now - starts.instant(now, "first", hourAgo); age < time.Minute {
+		t.Errorf("an endpoint that was listed before counts as %v old", age)
+	}
+	for i := range 500 {
+		starts.instant(now, fmt.Sprint(i), hourAgo)
+	}
+	if starts.prune(map[string]Endpoint{"first": {}}); len(starts.byID) != 1 {
+		t.Errorf("%d endpoints are remembered, and one is listed", len(starts.byID))
+	}
+}
--- a/internal/proxy/endpoints.go
+++ b/internal/proxy/endpoints.go
@@ -43,7 +43,7 @@
 	for _, e := range l.Endpoints {
 		update.Entries = append(update.Entries, balancer.Endpoint{
 			ID: e.ID, State: e.State, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell,
-			Started: p.clock.instant(e.StartedMs),
+			Started: p.starts.instant(now, e.ID, e.StartedMs),
 		})
 		listed[e.ID] = true
 		if e.State == balancer.Gone {
@@ -60,9 +60,18 @@
 			}
 		}
 	}
+	p.starts.prune(p.endpoints)
 	p.events.EndpointList(now, update)
 }
 
+// MarkListCurrent reports that endpoint discovery has just been heard of, and has no other news than
+// the list in force.
+func (p *Pool) MarkListCurrent() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.starts.currentAt = p.clock.now()
+}
+
 // removeEndpoint forgets an endpoint. p.mu must be held.
 func (p *Pool) removeEndpoint(id string) {
 	delete(p.endpoints, id)
@@ -74,7 +83,7 @@
 func (p *Pool) updateConns(id string) {
 	if e, listed := p.endpoints[id]; listed {
 		p.conns.SetEndpoint(id, e.Addr, e.State == balancer.Ready && !p.disabled[id])
-		p.conns.SetStartTime(id, time.UnixMilli(e.StartedMs))
+		p.conns.SetStartTime(id, p.clock.time(p.starts.byID[id].at))
 	}
 }
 
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -68,6 +68,7 @@
 	timerInstants  []time.Duration           // asked for by the Balancer; sorted
 	deferredEvents []func(now time.Duration) // arose while an event was handled
 	failureLogs    map[balancer.Reason]*failureLog
+	starts         startTimes // of endpoints
 
 	// Written under mu at the end of each event, read without it.
 	listedCount, avoidedCount atomic.Int64 // endpoints
@@ -76,8 +77,10 @@
 // New returns a Pool with the endpoints given as the first list of its Balancer. Its calls are
 // carried out from now on; Run maintains its connections and closes it.
 func New(s balancer.Settings, known EndpointList, o Options) *Pool {
+	c := clock{started: time.Now()}
 	p := &Pool{
-		clock:         clock{time.Now()},
+		clock:         c,
+		starts:        startTimes{clock: c, byID: map[string]listedStart{}},
 		done:          make(chan struct{}),
 		conns:         connpool.New(o.connOptions()),
 		subscribe:     o.Subscribe,
--- a/internal/proxy/pool_test.go
+++ b/internal/proxy/pool_test.go
@@ -11,7 +11,7 @@
 
 // The same start must always be the same instant, or an old one would pass for a restart.
 func TestStartTimesBecomeInstants(t *testing.T) {
-	c := clock{time.Now()}
+	c := clock{started: time.Now()}
 	at := c.started.UnixMilli()
 	if c.instant(0) != 0 {
 		t.Errorf("long ago: %v", c.instant(0))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -115,8 +115,11 @@
 		Version:          c.KnownEndpoints.Version,
 		DrainGrace:       c.Settings.DrainGrace,
 		OnUpdate:         func(list platform.EndpointList) { s.pool.UpdateEndpoints(list.ForPool()) },
-		OnCurrent:        s.readiness.markListReceived,
-		Log:              log,
+		OnCurrent: func() {
+			s.pool.MarkListCurrent()
+			s.readiness.markListReceived()
+		},
+		Log: log,
 	})
 	known := c.KnownEndpoints
 	known.Full = true // the latest list that the platform had, and the first that the pool receives
