Failing tests: time of long bodies, dials that fail here, a reload at a bad moment

Measured: the endpoint of a long body that waited 1 s for it is told 1 s more than its client has left; a client with a deadline of 2 s whose body's endpoint hangs is answered after 12 s; EMFILE and seven more at a dial fail the attempt and stand as the endpoint's failure; a file that can't be read in the moment of SIGHUP is never read again.

--- a/cmd/sidecar/main_test.go
+++ b/cmd/sidecar/main_test.go
@@ -154,3 +154,24 @@
 		}
 	}
 }
+
+// The file can't be read in the moment of the signal. No other signal comes: it is read once that is
+// possible.
+func TestReloadIsTriedAgain(t *testing.T) {
+	first, firstCalled := startDiscovery(t)
+	second, secondCalled := startDiscovery(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	writeConfig(t, path, first)
+	ended := startProgram(t, path)
+	waitForCall(t, "the first agent", firstCalled)
+
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	signalSelf(t, syscall.SIGHUP)
+	time.Sleep(200 * time.Millisecond) // that the signal is handled first is likely; the test holds either way
+	writeConfig(t, path, second)
+	waitForCall(t, "the second agent", secondCalled)
+	signalSelf(t, syscall.SIGTERM)
+	requireCleanEnd(t, ended)
+}
--- a/internal/connpool/acquire_test.go
+++ b/internal/connpool/acquire_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -293,3 +295,34 @@
 		e.Requests.Store(1)
 	}
 }
+
+// A dial that fails for a lack of this machine's says nothing of the endpoint: it is tried again,
+// and does not count as a failure of the endpoint's where it keeps failing.
+func TestLocalDialErrorsAreNotTheEndpoints(t *testing.T) {
+	for _, failure := range []syscall.Errno{
+		syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENETDOWN,
+		syscall.EAGAIN,
+	} {
+		e := newEndpoint(t, says(served, true))
+		p := newTestPool(t, e.Addr)
+		dial, dials, failing := p.dial, 0, 3
+		p.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if dials++; dials <= failing {
+				return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("connect", failure)}
+			}
+			return dial(ctx, network, addr)
+		}
+		if kind := getOnce(t, p); kind != succeeded {
+			t.Errorf("%v, three times: %v", failure, kind)
+		}
+		p.sweepIdle(func(*conn) bool { return false })
+		failing = 1 << 30
+		kind, _ := roundTrip(t, p, attemptWithin(100*time.Millisecond), "a", newRequest("/c"))
+		if _, lastFailure := p.EndpointStatus("a"); kind != NotSent || lastFailure != "" {
+			t.Errorf("%v for good: %v, endpoint status %q", failure, kind, lastFailure)
+		}
+		if _, _, open := p.Counts(); open != 0 {
+			t.Errorf("%v: %d connections are counted as open", failure, open)
+		}
+	}
+}
--- a/internal/sidecar/deadline_test.go
+++ b/internal/sidecar/deadline_test.go
@@ -104,3 +104,53 @@
 		requireNoMoreThanLeft(t, <-told, sentAt)
 	})
 }
+
+// The lengths of bodies. A sidecar with the least memory for bodies buffers only some of each; the
+// kernel's buffers take the rest, so that the client has sent all of it while some is unread.
+const (
+	longBody     = 470 << 10
+	overfullBody = 6 << 20 // more than the buffers on the way to an endpoint take, too
+)
+
+// sendWholeUpload sends a whole request with a long body at once.
+func (s *testSidecar) sendWholeUpload(t *testing.T, length int, deadline time.Duration) (c *testClient, sentAt time.Time) {
+	t.Helper()
+	head := strings.ReplaceAll(uploadHead(length), "600000", fmt.Sprint(deadline.Milliseconds()))
+	c = s.connectAndSend(t, "upload", "")
+	if err := c.send(head + strings.Repeat("x", length)); err != nil {
+		t.Fatal(err)
+	}
+	return c, time.Now()
+}
+
+// The client of a long body has sent all of it, and its time runs, while most of the body waits to
+// be read: for an endpoint to be found, or for one to read it.
+func TestTimeOfLongBodyCountsFromItsArrival(t *testing.T) {
+	t.Run("told after a dial that failed", func(t *testing.T) {
+		dead := newFullBacklogEndpoint(t)
+		addr, told := startTellingEndpoint(t, 0)
+		settings := strings.Replace(testSettings, `"DialTimeoutUs":5000000`, `"DialTimeoutUs":1000000`, 1)
+		s := testOptions{settings: settings, endpoints: endpointsJSON(dead)}.start(t)
+		s.server.SetBodyMemory(0)
+		c, sentAt := s.sendWholeUpload(t, longBody, clientDeadline)
+		s.waitForInFlight(t, 1)
+		s.updateEndpoints(t, endpointListJSON(2, false, endpointJSON("z", addr, "Ready")))
+		c.requireOK(t)
+		requireNoMoreThanLeft(t, <-told, sentAt)
+	})
+	t.Run("answered though the endpoint hangs in the middle of it", func(t *testing.T) {
+		const deadline, late = 2 * time.Second, time.Second // the page allows half of that
+		hanging, err := net.Listen("tcp", "127.0.0.1:0") // accepts in the kernel, and reads nothing
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer hanging.Close()
+		s := startSidecar(t, hanging.Addr().String())
+		s.server.SetBodyMemory(0)
+		c, sentAt := s.sendWholeUpload(t, overfullBody, deadline)
+		resp := c.readResponse(t)
+		if took := time.Since(sentAt); took > deadline+late || resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("status %d after %v, where the client waits %v", resp.StatusCode, took, deadline)
+		}
+	})
+}
