A dial that this machine can't make is made again, and is no failure of the endpoint's

Cause: connpool.acquireFailure called every failed dial ConnectFailed, so that a moment without descriptors, ports or a route ejected healthy endpoints and spent attempts and retry budget. Change: dialUntilMade dials again (2 to 20 ms apart, within the dial timeout) after errors of this machine; one that lasts is NotSent. EHOSTUNREACH and ETIMEDOUT stay the endpoint's.

--- a/internal/connpool/acquire.go
+++ b/internal/connpool/acquire.go
@@ -69,7 +69,7 @@
 	err := context.Canceled
 	if a.setInProgress(cancelableWait{cancelDial}) {
 		var nc net.Conn
-		if nc, err = p.dial(ctx, "tcp", r.addr); err == nil {
+		if nc, err = p.dialUntilMade(ctx, r.addr); err == nil {
 			var c *conn
 			if c, err = newConn(nc, r.endpoint, r.addr); err == nil {
 				return c, nil
--- a/internal/connpool/exchange.go
+++ b/internal/connpool/exchange.go
@@ -65,6 +65,9 @@
 	if errors.Is(err, errNoConnection) {
 		return &Error{Kind: NotSent, Err: err}
 	}
+	if isLocalDialError(err) {
+		return a.failure(NotSent, err)
+	}
 	if !a.isCanceled() {
 		p.recordFailure(endpoint, err)
 	}
