A configuration that can't be read in the moment of SIGHUP is read until it can

Cause: reloadOnSignal read the file once for each signal; where that failed for a moment, discovery stayed at an address that closes 1.5 s later, and what the new one has to tell counts as told 4 s after the signal. Change: the file is read again every 0.1 s until it loads. One signal is one failed reload in the metrics and one line in the log.

--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -15,6 +15,7 @@
 	"runtime/debug"
 	"sync"
 	"syscall"
+	"time"
 
 	"rowancart/internal/sidecar"
 )
@@ -58,22 +59,34 @@
 	return s.Serve(ctx)
 }
 
+// reloadRetryInterval is the time between two attempts to load a configuration after a signal.
+const reloadRetryInterval = 100 * time.Millisecond
+
 // reloadOnSignal loads the configuration again at each signal until ctx ends. A configuration that
-// can't be loaded changes nothing.
+// can't be loaded changes nothing, and is tried again until it can: the file may be replaced just
+// then, or a read may fail for a moment, and no other signal comes.
 func reloadOnSignal(ctx context.Context, hup <-chan os.Signal, s *sidecar.Sidecar, log *slog.Logger) {
+	var retry <-chan time.Time // nil: nothing is to be tried again
 	for {
+		isRetry := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-hup:
+		case <-retry:
+			isRetry = true
 		}
 		c, err := sidecar.LoadConfig(os.Getenv)
-		if err != nil {
-			log.Error("reload failed, keeping the current configuration", "err", err)
-			s.RecordFailedReload()
+		if err == nil {
+			retry = nil
+			s.Reload(c)
+			log.Info("reloaded", "discovery", c.Discovery)
 			continue
 		}
-		s.Reload(c)
-		log.Info("reloaded", "discovery", c.Discovery)
+		if !isRetry { // one signal is one failure
+			log.Error("reload failed, keeping the current configuration", "err", err, "retry_every", reloadRetryInterval)
+			s.RecordFailedReload()
+		}
+		retry = time.After(reloadRetryInterval)
 	}
 }
