A long body's client waits from its last byte, read or not, also while its endpoint hangs

Cause: writeUploadRequest told ClientTimeout whatever had passed, and counted the client's time from the end of its own writing; a write to an endpoint that reads nothing was bounded by 12 s alone. Change: Upload.SentAt is the earliest moment at which the client can have sent its last byte (what the kernel holds unread, FIONREAD, and for how long). The deadline told, the wait for a response and a write without progress go by it. Left: bytes in the client's own buffers are not seen while an endpoint reads slowly.

--- a/internal/connpool/message.go
+++ b/internal/connpool/message.go
@@ -33,9 +33,13 @@
 type Upload struct {
 	Length    int64     // of the whole body; below 0: unknown
 	Buffered  [][]byte  // what has arrived, in order
-	Remaining io.Reader // what is still to arrive; nil: nothing
+	Remaining io.Reader // what has not been read yet; nil: nothing
 	Release   func()    // called before Remaining is read, when Buffered will not be sent again; nil: nothing
-	consumed  atomic.Bool
+	// SentAt returns the earliest moment at which the client can have sent the last byte, which is now
+	// if it can't have: its time runs from then on, read or not. It is called by the reader of Remaining;
+	// nil: unknown.
+	SentAt   func() time.Time
+	consumed atomic.Bool
 }
 
 // bodyLength returns the length of the whole body, below 0 where that is unknown.
@@ -46,6 +50,16 @@
 	return int64(len(r.Body))
 }
 
+// clientDeadline returns until when the client of a request with an Upload waits at least: its time
+// counts from the last byte of its body.
+func (r *Request) clientDeadline() time.Time {
+	sentAt := time.Now()
+	if r.Upload.SentAt != nil {
+		sentAt = r.Upload.SentAt()
+	}
+	return sentAt.Add(r.ClientTimeout)
+}
+
 // BodyConsumed reports whether so much of the body has been sent that it can't be sent again.
 func (r *Request) BodyConsumed() bool { return r.Upload != nil && r.Upload.consumed.Load() }
 
--- a/internal/connpool/write.go
+++ b/internal/connpool/write.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -16,6 +17,9 @@
 // in one write.
 const maxCoalescedBody = 4 << 10
 
+// uploadCheckInterval is the time between two looks at the client while an endpoint reads nothing.
+const uploadCheckInterval = 100 * time.Millisecond
+
 // perAttemptHeaders are the headers that are written for each attempt, or never.
 var perAttemptHeaders = map[string]bool{
 	"Host": true, "Content-Length": true, "Transfer-Encoding": true, "Trailer": true, DeadlineHeader: true,
@@ -81,7 +85,7 @@
 	}
 	wait := time.Until(a.Deadline)
 	if upload.Remaining != nil {
-		wait = req.ClientTimeout
+		wait = time.Until(req.clientDeadline())
 	}
 	c.writeBuffer = req.appendHead(c.writeBuffer[:0], wait)
 	if err := c.writeAll(c.writeBuffer); err != nil {
@@ -89,7 +93,7 @@
 	}
 	buffer := http1.Buffers.Get().(*[]byte)
 	defer http1.Buffers.Put(buffer)
-	w := uploadWriter{conn: c, upload: upload, buffer: *buffer}
+	w := uploadWriter{conn: c, request: req, upload: upload, buffer: *buffer}
 	if err := w.writeBuffered(req.Body); err != nil {
 		return err
 	}
@@ -104,7 +108,7 @@
 	if err := w.writeRemaining(); err != nil {
 		return err
 	}
-	a.Deadline = time.Now().Add(req.ClientTimeout) // the client's time runs from here
+	a.Deadline = req.clientDeadline()
 	// An error means that the attempt was canceled, which the read of the response finds. The request
 	// has been written by now and may run, so that this is no failed write.
 	_ = c.SetDeadline(a.Deadline)
@@ -113,9 +117,10 @@
 
 // uploadWriter writes the pieces of a long body to a connection.
 type uploadWriter struct {
-	conn   *conn
-	upload *Upload
-	buffer []byte // one of http1.Buffers: a piece of the body, with room for its chunk framing
+	conn    *conn
+	request *Request
+	upload  *Upload
+	buffer  []byte // one of http1.Buffers: a piece of the body, with room for its chunk framing
 }
 
 // piece returns the part of the buffer that a piece of the body is read into.
@@ -124,11 +129,14 @@
 }
 
 // writePiece writes the first n bytes of piece, as a chunk where the length of the body is unknown.
-func (w *uploadWriter) writePiece(n int) error {
+func (w *uploadWriter) writePiece(n int) error { return w.conn.writeAll(w.framedPiece(n)) }
+
+// framedPiece returns the first n bytes of piece as they are written.
+func (w *uploadWriter) framedPiece(n int) []byte {
 	if w.upload.Length < 0 {
-		return w.conn.writeAll(http1.AppendChunkFraming(w.buffer, n))
+		return http1.AppendChunkFraming(w.buffer, n)
 	}
-	return w.conn.writeAll(w.piece()[:n])
+	return w.piece()[:n]
 }
 
 // writeBuffered writes a part of the body that is held in memory.
@@ -179,8 +187,25 @@
 	if w.conn.hasPendingInput() {
 		return errEarlyResponse
 	}
-	if w.conn.SetWriteDeadline(time.Now().Add(http1.MaxReadIdle)) != nil {
-		return errWriteFailed
+	began := time.Now()
+	for text := w.framedPiece(n); len(text) > 0; {
+		// The client may have sent all of its body while the endpoint reads nothing.
+		stallEnd := began.Add(http1.MaxReadIdle)
+		if clientDeadline := w.request.clientDeadline(); clientDeadline.Before(stallEnd) {
+			stallEnd = clientDeadline
+		}
+		until := time.Now().Add(uploadCheckInterval)
+		if stallEnd.Before(until) {
+			until = stallEnd
+		}
+		if w.conn.SetWriteDeadline(until) != nil {
+			return errWriteFailed
+		}
+		written, err := w.conn.Write(text)
+		text = text[written:]
+		if len(text) > 0 && (!errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(stallEnd)) {
+			return fmt.Errorf("%w: %w", errWriteFailed, err)
+		}
 	}
-	return w.writePiece(n)
+	return nil
 }
--- a/internal/httpserver/arrival.go
+++ b/internal/httpserver/arrival.go
@@ -30,6 +30,18 @@
 	return age
 }
 
+// unreadBytes returns how many bytes have arrived that nobody has read, 0 where that is unknown.
+func (w *disconnectWatcher) unreadBytes() int64 {
+	if w.rawConn == nil {
+		return 0
+	}
+	var n int32
+	_ = w.rawConn.Control(func(fd uintptr) { // where it fails, n stays 0
+		_, _, _ = syscall.Syscall(syscall.SYS_IOCTL, fd, syscall.TIOCINQ, uintptr(unsafe.Pointer(&n)))
+	})
+	return int64(max(n, 0))
+}
+
 // sinceLastData returns the time since a TCP connection last received data, to the ms, or 0 if the
 // descriptor is no such connection.
 func sinceLastData(fd uintptr) time.Duration {
--- a/internal/httpserver/requestbody.go
+++ b/internal/httpserver/requestbody.go
@@ -190,7 +190,9 @@
 	}
 	received.data = received.data[:n]
 	if !body.ended() {
-		received.streamed = &streamedBody{requestBody: body, length: length, prefixLength: n, buffers: &c.server.bodyBuffers}
+		received.streamed = &streamedBody{
+			requestBody: body, length: length, prefixLength: n, buffers: &c.server.bodyBuffers, watcher: &c.disconnect,
+		}
 	}
 	return received, nil
 }
--- a/internal/httpserver/streamedbody.go
+++ b/internal/httpserver/streamedbody.go
@@ -15,6 +15,8 @@
 	length       int64 // bytes; below 0: unknown
 	prefixLength int   // bytes that readBody has read
 	buffers      *bodyBufferPool
+	watcher      *disconnectWatcher // of the connection
+	sentAt       time.Time          // when the last byte arrived, once it is known to have; zero before
 
 	releaseOnce sync.Once
 	buffered    [][]byte // from buffers; not changed after bufferAhead
@@ -37,7 +39,29 @@
 	if b.ended() {
 		return &proxy.Upload{Buffered: b.buffered, Length: total}, nil
 	}
-	return &proxy.Upload{Buffered: b.buffered, Length: b.length, Remaining: b.requestBody, Release: b.release}, nil
+	return &proxy.Upload{
+		Buffered: b.buffered, Length: b.length, Remaining: b.requestBody, Release: b.release, SentAt: b.lastByteSentAt,
+	}, nil
+}
+
+// lastByteSentAt returns the earliest moment at which the client can have sent the last byte of the
+// body, now if it can't have. While data waits to be read, the rest may have been sent right after
+// the latest read: some of it may still be in the client's own buffers.
+func (b *streamedBody) lastByteSentAt() time.Time {
+	reader := b.source.reader
+	unread := b.watcher.unreadBytes()
+	switch {
+	case !b.sentAt.IsZero():
+	case b.ended():
+		b.sentAt = reader.arrivedAt
+	case b.length >= 0 && b.length-b.source.pace.received-int64(len(reader.buffered())) <= unread:
+		b.sentAt = time.Now().Add(-b.watcher.unreadAge())
+	case unread > 0:
+		return reader.arrivedAt
+	default:
+		return time.Now()
+	}
+	return b.sentAt
 }
 
 // fillBuffers reads into at most maxBuffers buffers and returns the number of bytes read.
--- a/internal/sidecar/deadline_test.go
+++ b/internal/sidecar/deadline_test.go
@@ -140,7 +140,7 @@
 	})
 	t.Run("answered though the endpoint hangs in the middle of it", func(t *testing.T) {
 		const deadline, late = 2 * time.Second, time.Second // the page allows half of that
-		hanging, err := net.Listen("tcp", "127.0.0.1:0") // accepts in the kernel, and reads nothing
+		hanging, err := net.Listen("tcp", "127.0.0.1:0")    // accepts in the kernel, and reads nothing
 		if err != nil {
 			t.Fatal(err)
 		}
