A request whose handling panics is answered 502

Cause: the recover in serveConn closed the connection of a request that had been read, with no answer: a lost request. Change: it answers 502, which promises nothing, unless the response has begun. One that has begun breaks off, so that its client can tell.

--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -29,6 +29,7 @@
 	output       []byte // the response being written
 	disconnect   disconnectWatcher
 	requestStart time.Time // the connection's, or the first byte of its current request
+	requestRead  bool      // the head of its current request has been read
 
 	writeDeadlineSet time.Time // when the write deadline was set last
 }
@@ -37,12 +38,13 @@
 func (s *Server) serveConn(l *Listener, nc *trackedConn) {
 	defer l.setState(nc, http.StateClosed)
 	defer nc.Close()
+	c := &conn{server: s, netConn: nc, requestStart: nc.since}
 	defer func() {
 		if cause := recover(); cause != nil { // a fault in one request must not end the process
 			s.log.Error("a request failed", "cause", cause, "stack", string(debug.Stack()))
+			c.answerPanic()
 		}
 	}()
-	c := &conn{server: s, netConn: nc, requestStart: nc.since}
 	c.disconnect.attach(nc.Conn)
 	c.reader = connReader{Conn: nc, unreadAge: c.disconnect.unreadAge}
 	if nc.SetReadDeadline(deadlineAfter(requestHeadTimeout)) != nil || c.reader.fill() != nil {
@@ -62,6 +64,16 @@
 	}
 }
 
+// answerPanic answers the request whose handling has panicked, unless its response has begun. The
+// request may have run, so nothing is promised.
+func (c *conn) answerPanic() {
+	_ = c.disconnect.stop()
+	if !c.requestRead || c.netConn.hasWrittenSinceRead() {
+		return
+	}
+	c.reject(nil, closingRejection(http.StatusBadGateway, http.StatusText(http.StatusBadGateway)))
+}
+
 // startRequest starts the time of a request whose first byte has arrived. It reports whether the
 // connection can be read from.
 func (c *conn) startRequest() bool {
@@ -94,10 +106,12 @@
 // serveRequest reads one request and writes its response. It reports whether the connection can
 // carry another request.
 func (c *conn) serveRequest() bool {
+	c.requestRead = false
 	r, rejection, err := c.readRequestHead()
 	if err != nil {
 		return false
 	}
+	c.requestRead = true
 	if rejection != nil {
 		return c.reject(r, rejection)
 	}
--- a/internal/httpserver/trackedconn.go
+++ b/internal/httpserver/trackedconn.go
@@ -46,6 +46,14 @@
 	return c.closing
 }
 
+// hasWrittenSinceRead reports whether the latest data on the connection was written by this side: a
+// response has begun.
+func (c *trackedConn) hasWrittenSinceRead() bool {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	return !c.readSinceWrite
+}
+
 // Read implements net.Conn.
 func (c *trackedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
