--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -23,11 +23,12 @@
 	closed    chan struct{} // closed with the listener
 	closeOnce sync.Once     // closes closed
 
-	mu       sync.Mutex // guards the fields below, and the state of each connection
-	maxConns int
-	conns    map[*trackedConn]bool
-	rejected int           // connections, in total
-	resumed  chan struct{} // closed by Resume; nil while the listener is not paused
+	mu             sync.Mutex // guards the fields below, and the state of each connection
+	maxConns       int
+	conns          map[*trackedConn]bool
+	rejected       int           // connections, in total
+	resumed        chan struct{} // closed by Resume; nil while the listener is not paused
+	acceptingSince time.Time     // when the accept in progress began; zero: none is
 }
 
 // NewListener returns a Listener that closes idle connections while there are more than maxConns.
@@ -154,13 +155,22 @@
 		if err := l.waitWhilePaused(); err != nil {
 			return nil, err
 		}
+		l.setAccepting(time.Now())
 		nc, err := l.Listener.Accept()
+		l.setAccepting(time.Time{})
 		if !errors.Is(err, os.ErrDeadlineExceeded) { // which Pause causes
 			return nc, err
 		}
 	}
 }
 
+// setAccepting notes when the accept in progress began, zero for none.
+func (l *Listener) setAccepting(since time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.acceptingSince = since
+}
+
 // register adds a connection to those that are open, or returns nil if it must be rejected.
 func (l *Listener) register(nc net.Conn) *trackedConn {
 	c := &trackedConn{Conn: nc, listener: l, state: http.StateNew, since: time.Now()}
