--- /dev/null
+++ b/internal/sidecar/start_test.go
@@ -0,0 +1,32 @@
+package sidecar
+
+import (
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// The address is still in use when the process starts, as after a restart at once: it starts as soon
+// as the address is free.
+func TestStartWaitsForItsAddress(t *testing.T) {
+	inUse, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.NewReplacer("127.0.0.1:0", inUse.Addr().String(), "127.0.0.1:9100", "").Replace(goodConfig)
+	c, err := parseConfig([]byte(text), noEnv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(300*time.Millisecond, func() { inUse.Close() })
+	s, err := Start(c, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Addr().String() != c.Listen {
+		t.Errorf("it listens on %v", s.Addr())
+	}
+	s.listener.Close()
+}
