A start waits out errors of the system that may pass

Cause: openListeners, InheritedListener and LoadConfig made each call once; a lack of descriptors or an address still in use for a moment was a failed start. Change: they are tried again for 3 s after such errors; all others end the start at once with the same line as before.

--- a/internal/hotrestart/inherited.go
+++ b/internal/hotrestart/inherited.go
@@ -7,6 +7,12 @@
 	"os"
 	"strconv"
 	"syscall"
+	"time"
+)
+
+const (
+	duplicateRetryInterval = 20 * time.Millisecond
+	duplicateRetryTimeout  = 3 * time.Second
 )
 
 // InheritedListener returns a listener of the socket that this process has inherited at a file
@@ -28,9 +34,21 @@
 	}
 	file := os.NewFile(uintptr(fd), "inherited listener")
 	defer file.Close() // the listener has a descriptor of its own
-	listener, err := net.FileListener(file)
+	listener, err := listenerOf(file)
 	if err != nil {
 		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
 	}
 	return listener, nil
 }
+
+// listenerOf is net.FileListener, tried again for a moment where this machine lacks a descriptor or
+// memory: the caller closes the file, so that nobody else can.
+func listenerOf(file *os.File) (net.Listener, error) {
+	for began := time.Now(); ; time.Sleep(duplicateRetryInterval) {
+		listener, err := net.FileListener(file)
+		lacking := errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOMEM)
+		if !lacking || time.Since(began) >= duplicateRetryTimeout {
+			return listener, err
+		}
+	}
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -48,7 +48,7 @@
 	if path == "" {
 		return Config{}, fmt.Errorf("%s: not set", envConfig)
 	}
-	text, err := os.ReadFile(path)
+	text, err := retryTransient(func() ([]byte, error) { return os.ReadFile(path) })
 	if err != nil {
 		return Config{}, fmt.Errorf("%s: %w", envConfig, err)
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -83,7 +83,7 @@
 	if c.AdminAddr == "" {
 		return clients, nil, nil
 	}
-	operators, err = net.Listen("tcp", c.AdminAddr)
+	operators, err = listenTCP(c.AdminAddr)
 	if err != nil {
 		clients.Close()
 		return nil, nil, fmt.Errorf("console: %w", err)
@@ -100,13 +100,18 @@
 		}
 		return l, nil
 	}
-	l, err := net.Listen("tcp", c.Listen)
+	l, err := listenTCP(c.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	return l, nil
 }
 
+// listenTCP opens a listener, for which it waits a moment where the address is still in use.
+func listenTCP(addr string) (net.Listener, error) {
+	return retryTransient(func() (net.Listener, error) { return net.Listen("tcp", addr) })
+}
+
 // connectDiscovery creates the pool and the discovery client, which refer to each other.
 func (s *Sidecar) connectDiscovery(c Config, log *slog.Logger) {
 	s.discovery = platform.New(platform.Options{
