--- a/internal/httpserver/connection_test.go
+++ b/internal/httpserver/connection_test.go
@@ -19,3 +19,13 @@
 	requireStatus(t, nc, http.StatusBadGateway)
 	requireStatus(t, connect(t, inner, healthRequest), http.StatusOK) // the process goes on
 }
+
+// Up to two empty lines before a request are skipped, however they arrive.
+func TestEmptyLinesBeforeRequestAreSkipped(t *testing.T) {
+	inner := listen(t)
+	startServer(t, NewListener(inner, 10), nil)
+	for _, lines := range []string{"", "\r\n", "\r\n\r\n"} {
+		requireStatus(t, connect(t, inner, lines+healthRequest), http.StatusOK)
+	}
+	requireStatus(t, connect(t, inner, "\r\n\r\n\r\n"+healthRequest), http.StatusHTTPVersionNotSupported)
+}
--- a/internal/sidecar/shareddir_test.go
+++ b/internal/sidecar/shareddir_test.go
@@ -93,3 +93,22 @@
 		t.Errorf("after the call back: %v, %v", files, err)
 	}
 }
+
+// A process was killed while it wrote what it had learned: the next one removes the half-written
+// file, which counts as memory.
+func TestHalfWrittenSnapshotIsRemoved(t *testing.T) {
+	sharedDir := t.TempDir()
+	dir := filepath.Join(sharedDir, "rowancart-")
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	leftover := filepath.Join(dir, "learned.new-17")
+	if err := os.WriteFile(leftover, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	testOptions{sharedDir: sharedDir}.start(t)
+	waitUntil(t, "the file is gone", func() bool {
+		_, err := os.Stat(leftover)
+		return err != nil
+	})
+}
--- a/internal/soak/clients_test.go
+++ b/internal/soak/clients_test.go
@@ -196,6 +196,9 @@
 	}
 	fresh := c.served == 0
 	requests := []request{c.newRequest(), c.newRequest()}
+	for i := range requests {
+		requests[i].id += "-pipelined"
+	}
 	if c.write(requests...) != nil && !fresh {
 		c.closeConn()
 		return
