Both empty lines before a request are skipped, also where they arrive in one segment

Cause: connReader.readHead looked for one empty line a read, so that of two in one segment the second was parsed as a request line. Change: it skips up to two in a loop.

--- a/internal/httpserver/connreader.go
+++ b/internal/httpserver/connreader.go
@@ -106,7 +106,7 @@
 	// bytes before it.
 	for emptyLines, scanned := 0, 0; ; {
 		// Some clients send an empty line after a body (RFC 9112, 2.2).
-		if bytes.HasPrefix(r.buffered(), crlf) && emptyLines < maxLeadingEmptyLines {
+		for bytes.HasPrefix(r.buffered(), crlf) && emptyLines < maxLeadingEmptyLines {
 			emptyLines, scanned = emptyLines+1, 0
 			r.start += len(crlf)
 		}
