--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -104,6 +104,7 @@
 	h.sharedDir = hotrestart.NewSharedDir(tempDir, name)
 	h.snapshots = &snapshotStore{path: h.sharedDir.SnapshotPath(), pool: h.limits.pool, log: h.log}
 	h.operations.sharedDir = h.sharedDir
+	h.snapshots.removeLeftovers()
 	h.checkPeers()
 }
 
--- a/internal/sidecar/snapshot.go
+++ b/internal/sidecar/snapshot.go
@@ -40,6 +40,14 @@
 	}
 }
 
+// removeLeftovers removes what a process that was killed has left half written. Where that fails, the
+// next process tries again.
+func (s *snapshotStore) removeLeftovers() {
+	if err := snapshot.RemoveLeftovers(s.path); err != nil {
+		s.log.Warn("cannot remove half-written snapshots", "err", err)
+	}
+}
+
 // isDue reports whether a snapshot is due, and if so begins the interval to the next one.
 func (s *snapshotStore) isDue() bool {
 	if time.Since(s.lastDue) < snapshotInterval {
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -32,6 +32,19 @@
 	ErrFromFuture = errors.New("it was written in the future")
 )
 
+// temporarySuffix, with random digits, ends the name of a file that is being written.
+const temporarySuffix = ".new-"
+
+// RemoveLeftovers removes the temporary files of writes to path that a kill has cut off. A write in
+// progress fails by it: the caller must be the only writer, or the others must write again.
+func RemoveLeftovers(path string) error {
+	files, err := filepath.Glob(path + temporarySuffix + "*")
+	for _, file := range files {
+		err = errors.Join(err, os.Remove(file))
+	}
+	return err
+}
+
 // Write replaces the file at path by a snapshot of a value, in JSON, as of now. The old file stays
 // until the new one is complete on disk, even if the machine fails. Temporary files are in the same
 // directory; the caller must hold the lock of the path (see Lock) where others may write it too.
@@ -52,7 +65,7 @@
 	if err != nil {
 		return fmt.Errorf("snapshot %s: %w", path, err)
 	}
-	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".new-*")
+	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+temporarySuffix+"*")
 	if err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
