--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -100,8 +100,8 @@
 }
 
 // RetryDeadline returns the instant by which a retry of a request has to have been written, however
-// late its connection comes up: what comes after the window of its key takes effect once more. It is
-// 0 where there is no such instant.
+// late its connection comes up: what comes after the window of its key takes effect once more. It
+// is 0 where there is no such instant.
 func (b *Balancer) RetryDeadline(id string) time.Duration {
 	req := b.requests[id]
 	if req == nil || req.class.Repeat != IdempotencyKeyed {
--- a/cmd/sidecar/main_test.go
+++ b/cmd/sidecar/main_test.go
@@ -155,8 +155,8 @@
 	}
 }
 
-// The file can't be read in the moment of the signal. No other signal comes: it is read once that is
-// possible.
+// The file can't be read in the moment of the signal. No other signal comes: it is read once that
+// is possible.
 func TestReloadIsTriedAgain(t *testing.T) {
 	first, firstCalled := startDiscovery(t)
 	second, secondCalled := startDiscovery(t)
--- a/internal/connpool/acquire_test.go
+++ b/internal/connpool/acquire_test.go
@@ -300,8 +300,8 @@
 // and does not count as a failure of the endpoint's where it keeps failing.
 func TestLocalDialErrorsAreNotTheEndpoints(t *testing.T) {
 	for _, failure := range []syscall.Errno{
-		syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENETDOWN,
-		syscall.EAGAIN,
+		syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH,
+		syscall.ENETDOWN, syscall.EAGAIN,
 	} {
 		e := newEndpoint(t, says(served, true))
 		p := newTestPool(t, e.Addr)
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -45,7 +45,10 @@
 	nothing := false
 	err := c.rawConn.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		err := error(syscall.EINTR)
+		for errors.Is(err, syscall.EINTR) {
+			_, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		}
 		nothing = errors.Is(err, syscall.EAGAIN)
 	})
 	return err != nil || !nothing
--- a/internal/connpool/message.go
+++ b/internal/connpool/message.go
@@ -35,9 +35,9 @@
 	Buffered  [][]byte  // what has arrived, in order
 	Remaining io.Reader // what has not been read yet; nil: nothing
 	Release   func()    // called before Remaining is read, when Buffered will not be sent again; nil: nothing
-	// SentAt returns the earliest moment at which the client can have sent the last byte, which is now
-	// if it can't have: its time runs from then on, read or not. It is called by the reader of Remaining;
-	// nil: unknown.
+	// SentAt returns the earliest moment at which the client can have sent the last byte, which is
+	// now if it can't have: its time runs from then on, read or not. It is called by the reader of
+	// Remaining; nil: unknown.
 	SentAt   func() time.Time
 	consumed atomic.Bool
 }
--- a/internal/httpserver/accept.go
+++ b/internal/httpserver/accept.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// Backoff between two failures to accept a connection. A client's deadline may be a few tenths of a
-	// second, so the longest is a small part of that.
+	// Backoff between two failures to accept a connection. A client's deadline may be a few tenths
+	// of a second, so the longest is a small part of that.
 	minAcceptBackoff = 2 * time.Millisecond
 	maxAcceptBackoff = 50 * time.Millisecond
 
--- a/internal/httpserver/arrival.go
+++ b/internal/httpserver/arrival.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// tcpInfoLastDataRecv is the offset of tcpi_last_data_recv in Linux's struct tcp_info: for how long
-	// nothing has arrived, in ms.
+	// tcpInfoLastDataRecv is the offset of tcpi_last_data_recv in Linux's struct tcp_info: for how
+	// long nothing has arrived, in ms.
 	tcpInfoLastDataRecv = 52
 	tcpInfoSize         = tcpInfoLastDataRecv + 4
 
--- a/internal/proxy/clock_test.go
+++ b/internal/proxy/clock_test.go
@@ -50,7 +50,8 @@
 // The wall clock is stepped by an hour while this process runs, here alone or everywhere: an
 // endpoint that has just started never counts as one that started long ago.
 func TestStepOfTheWallClockMakesNoEndpointOld(t *testing.T) {
-	for name, step := range map[string]time.Duration{"forward": time.Hour, "back": -time.Hour, "by seconds": 3 * time.Second} {
+	steps := map[string]time.Duration{"forward": time.Hour, "back": -time.Hour, "by seconds": 3 * time.Second}
+	for name, step := range steps {
 		for where, listedBy := range map[string]time.Duration{"here": 0, "everywhere": step} {
 			c := clock{started: time.Now(), wall: func() time.Time { return time.Now().Add(step) }}
 			starts := startTimes{clock: c, byID: map[string]listedStart{}}
--- a/internal/proxy/endpoints.go
+++ b/internal/proxy/endpoints.go
@@ -64,8 +64,8 @@
 	p.events.EndpointList(now, update)
 }
 
-// MarkListCurrent reports that endpoint discovery has just been heard of, and has no other news than
-// the list in force.
+// MarkListCurrent reports that endpoint discovery has just been heard of, and has no other news
+// than the list in force.
 func (p *Pool) MarkListCurrent() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/sidecar/deadline_test.go
+++ b/internal/sidecar/deadline_test.go
@@ -21,8 +21,8 @@
 	at   time.Time
 }
 
-// startTellingEndpoint returns an endpoint that sends what each request tells it, and holds requests
-// whose id begins with "hang" for hold.
+// startTellingEndpoint returns an endpoint that sends what each request tells it, and holds
+// requests whose id begins with "hang" for hold.
 func startTellingEndpoint(t *testing.T, hold time.Duration) (addr string, told <-chan toldDeadline) {
 	t.Helper()
 	requests := make(chan toldDeadline, 10)
@@ -113,7 +113,9 @@
 )
 
 // sendWholeUpload sends a whole request with a long body at once.
-func (s *testSidecar) sendWholeUpload(t *testing.T, length int, deadline time.Duration) (c *testClient, sentAt time.Time) {
+func (s *testSidecar) sendWholeUpload(
+	t *testing.T, length int, deadline time.Duration,
+) (c *testClient, sentAt time.Time) {
 	t.Helper()
 	head := strings.ReplaceAll(uploadHead(length), "600000", fmt.Sprint(deadline.Milliseconds()))
 	c = s.connectAndSend(t, "upload", "")
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io/fs"
 	"log/slog"
 	"sync"
 	"time"
@@ -16,8 +14,6 @@
 	// peerCheckInterval is the time between two checks for other processes, and for endpoints that
 	// operators have disabled or enabled through them.
 	peerCheckInterval = 100 * time.Millisecond
-	// sharedDirWarnInterval is the least time between two warnings that the shared directory fails.
-	sharedDirWarnInterval = 10 * time.Second
 	// bansTimeout is how long a start waits for a shared directory that can't be read: the operators
 	// may have disabled endpoints through a process before this one. A successor has 6 s to be ready.
 	bansTimeout = 5 * time.Second
@@ -70,9 +66,9 @@
 // follows which other processes run, pauses accepting while a successor serves, halves the limits
 // while two processes run, and hands the learned state on.
 //
-// The shared directory may fail for a while, at any time. Whatever has failed is tried again at each
-// peer check. Without a shared directory there are no other processes: sharedDir and snapshots are
-// nil.
+// The shared directory may fail for a while, at any time. Whatever has failed is tried again at
+// each peer check. Without a shared directory there are no other processes: sharedDir and snapshots
+// are nil.
 type handover struct {
 	limits     *limitEnforcer
 	sharedDir  *hotrestart.SharedDir
@@ -94,8 +90,8 @@
 }
 
 // join registers this process with the others of the sidecar of that name, which share tempDir, and
-// applies the limits and the bans that are in force. What fails is logged and tried again by run. It
-// must be called before any other method.
+// applies the limits and the bans that are in force. What fails is logged and tried again by run.
+// It must be called before any other method.
 func (h *handover) join(tempDir, name string) {
 	h.limits.apply(processesAlone)
 	if tempDir == "" {
@@ -108,101 +104,6 @@
 	h.checkPeers()
 }
 
-// checkPeers applies what has changed since the latest check: processes that have come or gone, and
-// endpoints disabled or enabled through another process. What can't be read stays as it is.
-func (h *handover) checkPeers() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	err := h.updatePresenceLocked()
-	if bansErr := h.operations.syncBans(); bansErr == nil {
-		h.bansApplied = true
-	} else {
-		err = errors.Join(err, bansErr)
-	}
-	if h.presence != nil {
-		peers, peersErr := h.presence.Peers()
-		if peersErr == nil {
-			h.applyPeersLocked(peers)
-		}
-		err = errors.Join(err, peersErr)
-	}
-	if err != nil {
-		h.warnFailedLocked(err)
-	}
-}
-
-// updatePresenceLocked registers this process, and marks it as serving once it does, unless that
-// has been done. The caller must hold h.mu.
-func (h *handover) updatePresenceLocked() error {
-	if h.presence == nil {
-		if err := h.sharedDir.Create(); err != nil {
-			return err
-		}
-		presence, err := h.sharedDir.Register(time.Now())
-		if err != nil {
-			return err
-		}
-		h.presence = presence
-	}
-	if h.serving && !h.markedServing {
-		if err := h.presence.MarkServing(); err != nil {
-			if errors.Is(err, fs.ErrNotExist) { // something has removed the file: the next check registers anew
-				h.presence.Unregister()
-				h.presence = nil
-			}
-			return err
-		}
-		h.markedServing = true
-	}
-	return nil
-}
-
-// applyPeersLocked applies which other processes run. The caller must hold h.mu.
-func (h *handover) applyPeersLocked(peers hotrestart.Peers) {
-	if peers.Alive != h.peerRunning {
-		h.setPeerRunningLocked(peers.Alive)
-	}
-	if next := h.phase.afterPeerCheck(peers.Successor); next != h.phase {
-		h.setPhaseLocked(next)
-	}
-}
-
-// warnFailedLocked logs that a check has failed, unless one was logged recently. The caller
-// must hold h.mu.
-func (h *handover) warnFailedLocked(err error) {
-	if time.Since(h.warnedAt) <= sharedDirWarnInterval {
-		return
-	}
-	h.warnedAt = time.Now()
-	h.log.Warn("the shared directory fails; keeping the current state", "err", err)
-}
-
-// setPeerRunningLocked shares the limits with another process, or takes them back. The caller must
-// hold h.mu.
-func (h *handover) setPeerRunningLocked(running bool) {
-	h.peerRunning = running
-	h.log.Info("processes of this sidecar", "another", running)
-	if running {
-		h.limits.apply(processesDuringHandover)
-	} else {
-		h.limits.apply(processesAlone)
-	}
-}
-
-// setPhaseLocked leaves accepting connections to the successor, or takes it up again where the
-// successor has died. The caller must hold h.mu.
-func (h *handover) setPhaseLocked(next handoverPhase) {
-	h.phase = next
-	h.log.Info("a successor serves", "is_so", next.isSuperseded())
-	if next.isSuperseded() {
-		h.listener.Pause()
-		h.server.StartDraining()
-	} else {
-		h.listener.Resume()
-		h.server.StopDraining()
-	}
-}
-
 // beginShutdown notes SIGTERM and reports whether a successor accepts the connections that still
 // come.
 func (h *handover) beginShutdown() (successorServes bool) {
--- a/internal/sidecar/retry.go
+++ b/internal/sidecar/retry.go
@@ -28,7 +28,8 @@
 	return false
 }
 
-// retryTransient calls a function until it succeeds, fails for good or startRetryTimeout has passed.
+// retryTransient calls a function until it succeeds, fails for good or startRetryTimeout has
+// passed.
 func retryTransient[T any](call func() (T, error)) (T, error) {
 	for began := time.Now(); ; time.Sleep(startRetryInterval) {
 		result, err := call()
--- a/internal/sidecar/snapshot.go
+++ b/internal/sidecar/snapshot.go
@@ -40,8 +40,8 @@
 	}
 }
 
-// removeLeftovers removes what a process that was killed has left half written. Where that fails, the
-// next process tries again.
+// removeLeftovers removes what a process that was killed has left half written. Where that fails,
+// the next process tries again.
 func (s *snapshotStore) removeLeftovers() {
 	if err := snapshot.RemoveLeftovers(s.path); err != nil {
 		s.log.Warn("cannot remove half-written snapshots", "err", err)
--- a/internal/soak/clients_test.go
+++ b/internal/soak/clients_test.go
@@ -199,7 +199,8 @@
 	for i := range requests {
 		requests[i].id += "-pipelined"
 	}
-	// HTTP/1.1 answers in order (RFC 9112, 9.3.2): no answer can come before that of the request ahead.
+	// HTTP/1.1 answers in order (RFC 9112, 9.3.2): no answer can come before that of the request
+	// ahead.
 	requests[1].deadline = max(requests[0].deadline, requests[1].deadline)
 	if c.write(requests...) != nil && !fresh {
 		c.closeConn()
--- a/internal/soak/ledger_proof_test.go
+++ b/internal/soak/ledger_proof_test.go
@@ -72,7 +72,8 @@
 			l.attempt("b", "s", "GET", "/look", "", deadline, at(deadlineSlack))
 		}},
 		"cold, within its budget": {"", func(l *ledger) { sendToCold(l, at(0), 11) }},
-		"cold, over its budget":   {ruleCold, func(l *ledger) { sendToCold(l, at(0), 12) }}, // N = 4: 4 + 3 x 2 + 3 = 13, and 2 of it are used
+		// N = 4: 4 + 3 x 2 + 3 = 13, of which 2 are used.
+		"cold, over its budget": {ruleCold, func(l *ledger) { sendToCold(l, at(0), 12) }},
 		"from no client": {ruleForeign, func(l *ledger) {
 			l.attempt("b", "none", "GET", "/look", "", 0, at(0))
 		}},
--- a/internal/soak/sidecars_test.go
+++ b/internal/soak/sidecars_test.go
@@ -80,8 +80,9 @@
 
 // writeConfig replaces the configuration file.
 func (s *sidecar) writeConfig() error {
-	text := fmt.Sprintf(`{"name":"n%d","listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":64,"sockets":%d},
-		"settings":%s}`, s.index, s.addr, s.discovery.address(), 7+s.index, descriptors, fmt.Sprintf(settings, s.index))
+	text := fmt.Sprintf(`{"name":"n%d","listen":%q,"discovery":%q,"seed":"%x",
+		"limits":{"cores":1,"memory_mb":64,"sockets":%d},"settings":%s}`,
+		s.index, s.addr, s.discovery.address(), 7+s.index, descriptors, fmt.Sprintf(settings, s.index))
 	next := s.configPath() + ".new"
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
 		return err
@@ -147,8 +148,8 @@
 	return p.log.String()
 }
 
-// command sends a command to the admin interface and returns the first line of the response, and how
-// long it took.
+// command sends a command to the admin interface and returns the first line of the response, and
+// how long it took.
 func (p *process) command(line string) (response string, took time.Duration) {
 	began := time.Now()
 	conn, err := net.DialTimeout("tcp", p.adminAddr, 3*operatorsLimit)
@@ -169,10 +170,11 @@
 func (s *sidecar) operate(p *process, line string) bool {
 	began := time.Now()
 	response, took := p.command(line)
-	if took > operatorsLimit+s.ledger.slack(began) || !strings.HasPrefix(response, "SUCCESS") && !strings.HasPrefix(response, "FAILURE") {
+	succeeded := strings.HasPrefix(response, "SUCCESS")
+	if took > operatorsLimit+s.ledger.slack(began) || !succeeded && !strings.HasPrefix(response, "FAILURE") {
 		s.ledger.breach(ruleOperators, "%s: %q after %v", line, response, took)
 	}
-	return strings.HasPrefix(response, "SUCCESS")
+	return succeeded
 }
 
 // reload replaces the configuration and sends SIGHUP n times.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -155,7 +155,8 @@
 	for i := range clientsEach * sidecarCount {
 		c := &client{
 			name: fmt.Sprintf("s%d-c%d", seed, i), sidecar: w.sidecars[i%sidecarCount], ledger: w.ledger,
-			rng: rand.New(rand.NewPCG(seed, uint64(i)+2)), classes: []class{look, look, pay, book}, stop: stopClients, noDials: &noDials,
+			rng: rand.New(rand.NewPCG(seed, uint64(i)+2)), classes: []class{look, look, pay, book},
+			stop: stopClients, noDials: &noDials,
 		}
 		clients.Go(c.run)
 	}
@@ -219,7 +220,9 @@
 
 // list lists an endpoint and returns when all sidecars count as told.
 func (w *world) list(e *endpoint, state string, startedMs int64) time.Time {
-	return w.discovery.publish(entry{ID: e.id, Addr: e.addr, Zone: "z", Kind: "k", State: state, Weight: 1, StartedMs: startedMs})
+	return w.discovery.publish(entry{
+		ID: e.id, Addr: e.addr, Zone: "z", Kind: "k", State: state, Weight: 1, StartedMs: startedMs,
+	})
 }
 
 // openCrowd opens idle connections to the first sidecar, and returns a function that closes them.
@@ -394,7 +397,8 @@
 	return nil
 }
 
-// upgrade starts a second process beside a sidecar's first and ends that, SIGHUP just before or not.
+// upgrade starts a second process beside a sidecar's first and ends that, SIGHUP just before or
+// not.
 func (w trouble) upgrade() error {
 	i := w.pick()
 	w.ledger.event("upgrades")
@@ -430,8 +434,8 @@
 	return w.sidecars[w.pick()].breakSharedDir(time.Duration(50+w.rng.IntN(400)) * time.Millisecond)
 }
 
-// shutDown ends all sidecars, with clients that go on sending on the connections that they have. New
-// ones keep coming for a moment.
+// shutDown ends all sidecars, with clients that go on sending on the connections that they have.
+// New ones keep coming for a moment.
 func (w *world) shutDown(rng *rand.Rand, noDials *atomic.Bool) {
 	time.AfterFunc(newConnsAfter, func() { noDials.Store(true) })
 	var ends sync.WaitGroup
