--- a/internal/soak/ledger_proof_test.go
+++ b/internal/soak/ledger_proof_test.go
@@ -74,6 +74,10 @@
 		"cold, within its budget": {"", func(l *ledger) { sendToCold(l, at(0), 11) }},
 		// N = 4: 4 + 3 x 2 + 3 = 13, of which 2 are used.
 		"cold, over its budget": {ruleCold, func(l *ledger) { sendToCold(l, at(0), 12) }},
+		"cold, over its budget, not told yet": {"", func(l *ledger) {
+			l.toldOfStart("c", at(time.Second))
+			sendToCold(l, at(0), 12)
+		}},
 		"from no client": {ruleForeign, func(l *ledger) {
 			l.attempt("b", "none", "GET", "/look", "", 0, at(0))
 		}},
@@ -98,7 +102,12 @@
 
 // sendToCold has an endpoint start and get two requests and then so many more.
 func sendToCold(l *ledger, at time.Time, n int) {
-	l.restarted("c", at)
+	if e := l.endpointLocked("c"); e.toldAt.IsZero() {
+		l.restarted("c", at)
+		l.toldOfStart("c", at)
+	} else {
+		e.startedAt = at
+	}
 	l.sent("s", look, "", at, time.Second)
 	for range n + 2 {
 		l.attempt("c", "s", "GET", "/look", "", 0, at)
