Failing tests: a broken log pipe, a hold-up before SIGKILL, a ban before the first list

Measured: the process ends at a log line once the pipe of its log is broken; held up in the moment in which the last responses are due it writes none before SIGKILL; disable-server of a listed endpoint is answered FAILURE before the list has been received.

--- /dev/null
+++ b/cmd/sidecar/signals_test.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"rowancart/internal/testpeer"
+)
+
+// startBuilt starts the built program with a configuration, with its log at stderr.
+func startBuilt(t *testing.T, config string, stderr io.Writer) *exec.Cmd {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "sidecar")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := exec.Command(program)
+	c.Env = []string{"ROUTER_CONFIG=" + path}
+	c.Stderr = stderr
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		c.Process.Kill()
+		c.Wait()
+	})
+	return c
+}
+
+// freeAddr returns an address on loopback at which nobody listens.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// waitUntilHealthy waits until a sidecar answers its health check.
+func waitUntilHealthy(t *testing.T, addr string) {
+	t.Helper()
+	client := http.Client{Timeout: testTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	testpeer.Until(t, "the sidecar is healthy", func() bool {
+		resp, err := client.Get("http://" + addr + "/_health")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+// Whoever reads the log has gone: the sidecar goes on without it.
+func TestBrokenLogPipeDoesNotEndTheProcess(t *testing.T) {
+	agent, _ := startDiscovery(t)
+	addr := freeAddr(t)
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := startBuilt(t, fmt.Sprintf(`{"name":"t","listen":%q,"discovery":%q,"seed":"1",
+		"known":{"version":1,"full":true,"servers":[]},"settings":{}}`, addr, agent), writer)
+	writer.Close()
+	waitUntilHealthy(t, addr)
+	reader.Close()
+	for range 3 { // each is a line of the log
+		if err := c.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond) // signals that come at once are one
+	}
+	waitUntilHealthy(t, addr)
+}
+
+// The process is held up for 0.15 s when the last responses before SIGKILL are due: they have been
+// written before.
+func TestLastResponsesAllowForAHoldUp(t *testing.T) {
+	const (
+		deadline  = time.Second // of the settings
+		killDelay = deadline + 700*time.Millisecond
+		holdUp    = 150 * time.Millisecond
+	)
+	hanging, err := net.Listen("tcp", "127.0.0.1:0") // accepts in the kernel, and never responds
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer hanging.Close()
+	agent := startListingDiscovery(t, []string{hanging.Addr().String()})
+	addr := freeAddr(t)
+	c := startBuilt(t, fmt.Sprintf(`{"name":"t","listen":%q,"discovery":%q,"seed":"1","known":%s,
+		"settings":{"Lanes":[{"Name":"pay","Semantics":"non_idempotent","OnTimeUs":900000,"HardLimitUs":1000000}]}}`,
+		addr, agent, testpeer.Members(1, true, testpeer.Member("a", hanging.Addr().String(), "Ready"))), io.Discard)
+	waitUntilHealthy(t, addr)
+	if err := c.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	killAt := time.Now().Add(killDelay)
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /pay HTTP/1.1\r\nHost: h\r\nReq-Id: r\r\nReq-Deadline-Ms: 60000\r\nContent-Length: 0\r\n\r\n")
+	time.Sleep(time.Until(killAt.Add(-holdUp * 4 / 5)))
+	c.Process.Signal(syscall.SIGSTOP) // held up until SIGKILL comes
+	time.Sleep(time.Until(killAt))
+	c.Process.Kill()
+	conn.SetReadDeadline(time.Now().Add(testTimeout))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || resp.StatusCode != http.StatusBadGateway {
+		t.Errorf("%+v, %v", resp, err)
+	}
+}
--- a/internal/sidecar/operations_test.go
+++ b/internal/sidecar/operations_test.go
@@ -244,3 +244,17 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// An operator's call comes before the first list has been received: the answer waits for it.
+func TestDisableWaitsForTheFirstList(t *testing.T) {
+	e := newEndpoint(t, respondWith(okResponse, true))
+	s := testOptions{}.start(t) // it knows no endpoint
+	answer := make(chan string, 1)
+	go func() { answer <- s.adminCommand(t, "disable-server a") }()
+	time.Sleep(100 * time.Millisecond) // that the call comes first is likely; the test holds either way
+	s.updateEndpoints(t, endpointListJSON(2, true, endpointJSON("a", e.Addr, "Ready")))
+	s.readiness.markListReceived()
+	if got := <-answer; !strings.HasPrefix(got, "SUCCESS") {
+		t.Errorf("%q", got)
+	}
+}
