A log that nobody reads any more does not end the sidecar

Cause: Go ends a process by SIGPIPE where a write to descriptor 1 or 2 meets a broken pipe. Change: SIGPIPE is ignored; the line is lost.

--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -34,9 +34,10 @@
 // run serves until SIGTERM or SIGINT has come and every accepted request has been answered.
 func run() error {
 	// SIGHUP is handled first of all, and until the process exits: by default it would end the
-	// process.
+	// process. So would SIGPIPE, at a log line that nobody reads any more.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	c, err := sidecar.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
