--- a/internal/sidecar/shutdown.go
+++ b/internal/sidecar/shutdown.go
@@ -16,8 +16,9 @@
 	// acceptAfterSIGTERM is for how long connections are accepted after SIGTERM: clients learn of the
 	// shutdown with a delay.
 	acceptAfterSIGTERM = 600 * time.Millisecond
-	// finalResponseMargin is how long before SIGKILL the last responses are written.
-	finalResponseMargin = 100 * time.Millisecond
+	// finalResponseMargin is how long before SIGKILL the last responses are due. The process may be
+	// held up for 0.15 s then.
+	finalResponseMargin = 250 * time.Millisecond
 	// finalCloseMargin is how long before SIGKILL the connections that are still open are closed.
 	finalCloseMargin = 50 * time.Millisecond
 	// recentUseWindow is the time since its latest request within which a connection is likely to
