Operators' calls wait for the first list; a process ended before it knows the bans serves nothing

Cause: operations.checkKnownLocked said no before the first list had been received. Beside it waitForBans let Serve go on at SIGTERM, though the bans were not known. Change: a call for an unknown endpoint waits for the first list, 0.7 s at most; Serve returns where SIGTERM comes before the bans are known (nothing has been accepted then).

--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -130,11 +130,11 @@
 	return h.phase.isSuperseded()
 }
 
-// waitForBans returns once the bans that are in force have been applied, after bansTimeout, or when
-// stop is closed. It needs run. Until then no request may be forwarded.
-func (h *handover) waitForBans(stop <-chan struct{}) {
+// waitForBans returns true once the bans that are in force have been applied, or after bansTimeout,
+// and false if stop is closed before: then no request may be forwarded. It needs run.
+func (h *handover) waitForBans(stop <-chan struct{}) bool {
 	if h.sharedDir == nil {
-		return
+		return true
 	}
 	timeout := time.NewTimer(bansTimeout)
 	defer timeout.Stop()
@@ -144,12 +144,13 @@
 		select {
 		case <-tick.C:
 		case <-stop:
-			return
+			return false
 		case <-timeout.C:
 			h.log.Error("serving though the shared directory fails: endpoints that are disabled there are not known")
-			return
+			return true
 		}
 	}
+	return true
 }
 
 // hasBans reports whether the bans of the shared directory have been applied.
--- a/internal/sidecar/operations.go
+++ b/internal/sidecar/operations.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"time"
 
 	"rowancart/internal/hotrestart"
 	"rowancart/internal/metrics"
@@ -39,10 +40,33 @@
 	})
 }
 
+// firstListWait is how long an operator's call waits for the first endpoint list. Its answer is due
+// within a second.
+const firstListWait = 700 * time.Millisecond
+
+// waitUntilListed returns once an endpoint is known, or can't become known by the first list.
+func (o *operations) waitUntilListed(id string) {
+	if o.readiness.listSettled() || o.isKnown(id) {
+		return
+	}
+	stop := make(chan struct{})
+	timeout := time.AfterFunc(firstListWait, func() { close(stop) })
+	defer timeout.Stop()
+	o.readiness.waitForList(stop)
+}
+
+// isKnown reports whether an endpoint is listed or disabled.
+func (o *operations) isKnown(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.checkKnownLocked(id) == nil
+}
+
 // Disable implements admin.Operations. Once it returns, the ban is in force here; with nil it also
 // outlives this process. A ban that could not be stored is stored as soon as the shared directory
 // allows it.
 func (o *operations) Disable(id string) error {
+	o.waitUntilListed(id)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if err := o.checkKnownLocked(id); err != nil {
@@ -67,6 +91,7 @@
 
 // Enable implements admin.Operations.
 func (o *operations) Enable(id string) error {
+	o.waitUntilListed(id)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if err := o.checkKnownLocked(id); err != nil {
--- a/internal/sidecar/serve.go
+++ b/internal/sidecar/serve.go
@@ -16,7 +16,9 @@
 	defer background.Wait()
 	defer stop()
 
-	s.handover.waitForBans(ctx.Done())
+	if !s.handover.waitForBans(ctx.Done()) {
+		return nil
+	}
 	if s.handover.hasPeer() { // the process that serves goes on doing so until this one can do it as well
 		s.readiness.waitForList(ctx.Done())
 	}
