--- a/internal/hotrestart/presence.go
+++ b/internal/hotrestart/presence.go
@@ -135,7 +135,7 @@
 
 // Unregister removes the presence file and releases its lock.
 func (p *Presence) Unregister() {
-	_ = os.Remove(p.path) // where that fails, a peer removes it once it finds it unlocked
+	_ = p.dir.files.remove(p.path) // where that fails, a peer removes it once it finds it unlocked
 	p.file.Close()
 }
 
--- a/internal/hotrestart/presence_test.go
+++ b/internal/hotrestart/presence_test.go
@@ -175,3 +175,21 @@
 		register(t, dir, 1).Unregister()
 	}
 }
+
+// The removal of the file fails for a moment: a process that ends leaves it behind no more than a
+// disk that works again does.
+func TestUnregisterOutlivesAFailedRemoval(t *testing.T) {
+	dir := openSharedDir(t)
+	p := register(t, dir, 1)
+	failures := 2
+	dir.files.remove = func(path string) error {
+		if failures--; failures >= 0 {
+			return syscall.EIO
+		}
+		return os.Remove(path)
+	}
+	p.Unregister()
+	if left, err := os.ReadDir(dir.path); err != nil || len(left) != 1 { // that of disabled endpoints
+		t.Errorf("left in the directory: %v, %v", left, err)
+	}
+}
--- a/internal/hotrestart/shareddir.go
+++ b/internal/hotrestart/shareddir.go
@@ -40,6 +40,7 @@
 // fileCalls are the calls of the file system that tests let fail.
 type fileCalls struct {
 	rename func(from, to string) error
+	remove func(path string) error
 	create func(path string) (*os.File, error) // opens a file for writing, and creates it unless it exists
 	lock   func(file *os.File) error           // see tryLock
 }
@@ -49,7 +50,7 @@
 func NewSharedDir(parent, name string) *SharedDir {
 	return &SharedDir{
 		path:  filepath.Join(parent, sharedDirPrefix+url.PathEscape(name)),
-		files: fileCalls{rename: os.Rename, create: createFile, lock: tryLock},
+		files: fileCalls{rename: os.Rename, remove: os.Remove, create: createFile, lock: tryLock},
 	}
 }
 
