--- a/internal/hotrestart/presence.go
+++ b/internal/hotrestart/presence.go
@@ -35,6 +35,12 @@
 	statusServing     status = "serving-"
 )
 
+// A presence file is removed at the end of its process, when there is little time.
+const (
+	removeTries         = 5
+	removeRetryInterval = 5 * time.Millisecond
+)
+
 // startDigits is the width of the start time in a stamp, such that stamps sort by time.
 const startDigits = 20
 
@@ -135,7 +141,12 @@
 
 // Unregister removes the presence file and releases its lock.
 func (p *Presence) Unregister() {
-	_ = p.dir.files.remove(p.path) // where that fails, a peer removes it once it finds it unlocked
+	for range removeTries { // where all fail, a peer removes it once it finds it unlocked
+		if err := p.dir.files.remove(p.path); err == nil || errors.Is(err, fs.ErrNotExist) {
+			break
+		}
+		time.Sleep(removeRetryInterval)
+	}
 	p.file.Close()
 }
 
