--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -122,7 +122,8 @@
 		b.chargeDeficit(req, e)
 	}
 	a := attempt{
-		endpoint: e, startedAt: now, sentAt: now, inFlight: true, trial: !e.active, stragglingAt: now + straggling,
+		endpoint: e, startedAt: now, sentAt: now, inFlight: true, trial: !e.active,
+		stragglingAt: now + straggling,
 	}
 	if req.Streamed {
 		a.stragglingAt = req.Deadline // its endpoint does not have all of it yet
--- a/balancer/endpoints.go
+++ b/balancer/endpoints.go
@@ -1,6 +1,6 @@
 package balancer
 
-// Changes of the endpoint list, by service discovery and by the operators.
+// The endpoint list: how service discovery and the operators change it, and what follows.
 
 import (
 	"cmp"
