--- a/cmd/sidecar/signals_test.go
+++ b/cmd/sidecar/signals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -87,6 +88,28 @@
 	waitUntilHealthy(t, addr)
 }
 
+// Whoever reads the log has stopped reading, and its pipe is full: requests do not wait for it.
+func TestFullLogPipeHoldsNothingUp(t *testing.T) {
+	agent, _ := startDiscovery(t)
+	addr := freeAddr(t)
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer reader.Close()
+	defer writer.Close()
+	_ = writer.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
+	for err == nil {
+		_, err = writer.Write(make([]byte, 4<<10))
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatal(err)
+	}
+	startBuilt(t, fmt.Sprintf(`{"name":"t","listen":%q,"discovery":%q,"seed":"1",
+		"known":{"version":1,"full":true,"servers":[]},"settings":{}}`, addr, agent), writer)
+	waitUntilHealthy(t, addr)
+}
+
 // The process is held up for 0.15 s when the last responses before SIGKILL are due: they have been
 // written before.
 func TestLastResponsesAllowForAHoldUp(t *testing.T) {
--- a/internal/httpserver/drain_test.go
+++ b/internal/httpserver/drain_test.go
@@ -100,3 +100,19 @@
 		t.Error(err)
 	}
 }
+
+// Nobody accepts on the listener any more: its drain ends all the same.
+func TestDrainEndsThoughNobodyAccepts(t *testing.T) {
+	l := NewListener(listen(t), 10)
+	drained := make(chan error, 1)
+	go func() { drained <- l.Drain(0, time.Time{}) }()
+	select {
+	case err := <-drained:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(patience):
+		t.Error("it never ends")
+		l.Close()
+	}
+}
