The sidecar's log never holds up a request

Cause: log lines were written to standard error by whoever logged, some under Pool.mu; with the log's pipe full the first line blocked the start, and any later one all requests. Errors of the start go to standard error as before.

--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"rowancart/internal/asynclog"
 	"rowancart/internal/sidecar"
 )
 
@@ -44,7 +45,9 @@
 	}
 	runtime.GOMAXPROCS(max(int(c.Limits.Cores), 1))
 	debug.SetGCPercent(gcPercent)
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("name", c.Name)
+	logLines := asynclog.New(os.Stderr)
+	defer logLines.Close()
+	log := slog.New(slog.NewTextHandler(logLines, nil)).With("name", c.Name)
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/cmd/sidecar/main_test.go
+++ b/cmd/sidecar/main_test.go
@@ -141,7 +141,8 @@
 		t.Fatal(err)
 	}
 	allowed := []string{
-		"rowancart/balancer", "rowancart/cmd/sidecar", "rowancart/internal/admin", "rowancart/internal/connpool",
+		"rowancart/balancer", "rowancart/cmd/sidecar", "rowancart/internal/admin", "rowancart/internal/asynclog",
+		"rowancart/internal/connpool",
 		"rowancart/internal/discovery/platform",
 		"rowancart/internal/hotrestart", "rowancart/internal/http1", "rowancart/internal/httpserver",
 		"rowancart/internal/metrics",
