A drain ends though nobody accepts

Cause: mayStopAccepting took the lack of an accept in progress for the lack of a place; where the accept loop has ended there is none for good.

--- a/internal/httpserver/drain.go
+++ b/internal/httpserver/drain.go
@@ -85,13 +85,13 @@
 	case !deadline.IsZero() && now.After(deadline.Add(-lastAcceptMargin)):
 		return true
 	}
-	if l.acceptingSince.IsZero() { // there is no place for a connection that may be queued
-		return false
+	if l.slots != nil && len(l.slots) == cap(l.slots) && l.acceptingSince.IsZero() {
+		return false // there is no place for a connection that may be queued
 	}
 	if now.Sub(start) >= maxAcceptAfterCloses { // clients that go on connecting must not hold up the end
 		return true
 	}
-	return now.Sub(start) >= acceptAfterCloses && now.Sub(l.acceptingSince) >= emptyQueueAfter
+	return !l.acceptingSince.IsZero() && now.Sub(start) >= acceptAfterCloses && now.Sub(l.acceptingSince) >= emptyQueueAfter
 }
 
 // closeIdle closes the connections that have been idle for at least minIdle, and those that have
