--- a/internal/httpserver/drain.go
+++ b/internal/httpserver/drain.go
@@ -91,7 +91,8 @@
 	if now.Sub(start) >= maxAcceptAfterCloses { // clients that go on connecting must not hold up the end
 		return true
 	}
-	return !l.acceptingSince.IsZero() && now.Sub(start) >= acceptAfterCloses && now.Sub(l.acceptingSince) >= emptyQueueAfter
+	queueIsEmpty := !l.acceptingSince.IsZero() && now.Sub(l.acceptingSince) >= emptyQueueAfter
+	return queueIsEmpty && now.Sub(start) >= acceptAfterCloses
 }
 
 // closeIdle closes the connections that have been idle for at least minIdle, and those that have
