Failing test: a long body that waited with its connection; the soak sends long bodies

Measured: the endpoint of a long body whose connection waited for 1 s to be accepted is told 1 s too much, buffered or streamed.

--- a/internal/sidecar/deadline_test.go
+++ b/internal/sidecar/deadline_test.go
@@ -140,6 +140,19 @@
 		c.requireOK(t)
 		requireNoMoreThanLeft(t, <-told, sentAt)
 	})
+	for name, length := range map[string]int{"buffered": longBody / 2, "streamed": longBody} {
+		t.Run("told after its connection waited to be accepted, "+name, func(t *testing.T) {
+			addr, told := startTellingEndpoint(t, 0)
+			s := startSidecar(t, addr)
+			s.server.SetBodyMemory(0)
+			s.listener.Pause()
+			c, sentAt := s.sendWholeUpload(t, length, clientDeadline)
+			time.Sleep(holdUp) // nobody accepts: no verdict rests on how long
+			s.listener.Resume()
+			c.requireOK(t)
+			requireNoMoreThanLeft(t, <-told, sentAt)
+		})
+	}
 	t.Run("answered though the endpoint hangs in the middle of it", func(t *testing.T) {
 		const deadline, late = 2 * time.Second, time.Second // the page allows half of that
 		hanging, err := net.Listen("tcp", "127.0.0.1:0")    // accepts in the kernel, and reads nothing
--- a/internal/soak/clients_test.go
+++ b/internal/soak/clients_test.go
@@ -73,10 +73,23 @@
 	}
 	if r.class.effect != safe {
 		r.body = strings.Repeat("b", c.rng.IntN(300))
+		if c.rng.IntN(longBodyOdds) == 0 { // longer than what is held in memory, and than one body's buffers
+			r.body = strings.Repeat("b", minLongBody+c.rng.IntN(maxLongBody-minLongBody))
+		}
 	}
 	return r
 }
 
+// Long bodies: one of so many, of so many bytes.
+const (
+	longBodyOdds = 12
+	minLongBody  = 60 << 10
+	maxLongBody  = 3 << 20
+)
+
+// isLong reports whether the request's body is long: its last byte is sent well after its first.
+func (r request) isLong() bool { return len(r.body) >= minLongBody }
+
 // text returns the request as it is sent.
 func (r request) text() string {
 	head := fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: h\r\nReq-Id: %s\r\nReq-Deadline-Ms: %d\r\n",
@@ -121,14 +134,30 @@
 	for _, r := range requests {
 		text += r.text()
 	}
-	for _, r := range requests { // before the write: an endpoint may have it before the write returns
-		c.ledger.sent(r.id, r.class, r.body, time.Now(), r.deadline)
+	recordSent := func(at func(request) time.Time) {
+		for _, r := range requests {
+			c.ledger.sent(r.id, r.class, r.body, at(r), r.deadline)
+		}
 	}
+	// Before the write: an endpoint may have it before the write returns. The time of a long one has
+	// not begun yet.
+	recordSent(func(r request) time.Time {
+		if r.isLong() {
+			return time.Now().Add(time.Hour)
+		}
+		return time.Now()
+	})
+	defer recordSent(func(r request) time.Time { // its time counts from the last byte
+		if r.isLong() {
+			return time.Now()
+		}
+		return time.Time{}
+	})
 	cut := len(text)
 	if c.rng.IntN(4) == 0 {
 		cut = c.rng.IntN(len(text))
 	}
-	_ = c.conn.SetWriteDeadline(time.Now().Add(5 * time.Second))
+	_ = c.conn.SetWriteDeadline(time.Now().Add(20 * time.Second))
 	if _, err := io.WriteString(c.conn, text[:cut]); err != nil {
 		return err
 	}
@@ -136,9 +165,12 @@
 		return nil
 	}
 	time.Sleep(time.Duration(c.rng.IntN(50)) * time.Millisecond)
-	for _, r := range requests { // its time counts from the last byte
-		c.ledger.sent(r.id, r.class, r.body, time.Now(), r.deadline)
-	}
+	recordSent(func(r request) time.Time {
+		if r.isLong() {
+			return time.Time{}
+		}
+		return time.Now()
+	})
 	_, err := io.WriteString(c.conn, text[cut:])
 	return err
 }
@@ -169,7 +201,7 @@
 			return
 		}
 		err := c.write(r)
-		if err == nil || c.served == 0 { // what was written is answered though the rest was not accepted
+		if err == nil || c.served == 0 || r.isLong() { // it may be answered though the rest was not accepted
 			var last bool
 			if last, err = c.read(r); err == nil {
 				if last {
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -149,7 +149,7 @@
 
 // history returns what has happened to a request so far.
 func (r *ledgerRequest) history() string {
-	text := fmt.Sprintf("%s, deadline %v", r.class.name, r.deadline)
+	text := fmt.Sprintf("%s, body of %d, deadline %v", r.class.name, len(r.body), r.deadline)
 	for _, at := range r.mayRun {
 		text += fmt.Sprintf(", at an endpoint after %v", at.Sub(r.sentAt))
 	}
@@ -164,12 +164,14 @@
 }
 
 // sent records that a client has sent a request, or sent it once more after its connection was
-// closed under it.
+// closed under it. A zero time leaves the earlier one.
 func (l *ledger) sent(id string, c class, body string, at time.Time, deadline time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if r := l.requests[id]; r != nil {
-		r.sentAt = at
+		if !at.IsZero() {
+			r.sentAt = at
+		}
 		return
 	}
 	l.requests[id] = &ledgerRequest{class: c, body: body, sentAt: at, deadline: deadline}
@@ -225,7 +227,8 @@
 		l.breachLocked(ruleLeft, "%s reaches %s %v after its client left", id, endpoint, late)
 	}
 	if over := told - (r.deadline - at.Sub(r.sentAt)); over > deadlineSlack+slack {
-		l.breachLocked(ruleDeadline, "%s: %s is told %v, %v more than its client has left", id, endpoint, told, over)
+		l.breachLocked(ruleDeadline, "%s (%s): %s is told %v, %v more than its client has left",
+			id, r.history(), endpoint, told, over)
 	}
 	l.checkRepeatLocked(endpoint, id, r, at, slack)
 	r.mayRun = append(r.mayRun, at)
