--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -28,8 +28,8 @@
 	endpointCount = 5
 	sidecarCount  = 2
 	clientsEach   = 10
-	// endpointCapacity is in requests a second. Three endpoints that are left have to carry the clients'
-	// 75 requests a second: what warm ones take is all that a sidecar can judge capacity by.
+	// endpointCapacity is in requests a second. Three endpoints that are left have to carry the
+	// clients' 75: what warm ones take is all that a sidecar can judge capacity by.
 	endpointCapacity = 25
 	idleCrowd        = 70 // connections; a third of the descriptors is for clients
 	newConnsAfter    = 400 * time.Millisecond
@@ -143,7 +143,9 @@
 	defer close(stopMeasuring)
 	var late lateness
 	go late.measure(stopMeasuring)
-	budget := coldBudget{capacity: endpointCapacity, from: 0.31, warmTime: 3 * time.Second, multiple: 4, window: time.Second}
+	budget := coldBudget{
+		capacity: endpointCapacity, from: 0.31, warmTime: 3 * time.Second, multiple: 4, window: time.Second,
+	}
 	w := &world{
 		ledger: newLedger(budget, keyWindow, late.slack),
 		held:   map[string]bool{},
