Failing test: what a write that failed in its middle leaves behind

Measured: the file stays for as long as the process runs. The store notes that its latest write failed, for the test to wait for.

--- a/internal/sidecar/shareddir_test.go
+++ b/internal/sidecar/shareddir_test.go
@@ -1,7 +1,9 @@
 package sidecar
 
 import (
+	"errors"
 	"fmt"
+	"io/fs"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -112,3 +114,22 @@
 		return err != nil
 	})
 }
+
+// The shared directory fails in the middle of a write: what that has left half written is removed
+// once the directory works again.
+func TestLeftoverOfAFailedWriteIsRemoved(t *testing.T) {
+	sharedDir := t.TempDir()
+	s := testOptions{sharedDir: sharedDir}.start(t)
+	waitUntil(t, "it serves", func() bool { return s.readiness.accepting.Load() })
+	mend := breakSharedDir(t, sharedDir)
+	waitUntil(t, "a write fails", func() bool { return s.handover.snapshots.failed.Load() })
+	leftover := filepath.Join(sharedDir, "aside", "learned.new-17")
+	if err := os.WriteFile(leftover, []byte("{"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	mend()
+	waitUntil(t, "the file is gone", func() bool {
+		_, err := os.Stat(filepath.Join(sharedDir, "rowancart-", "learned.new-17"))
+		return errors.Is(err, fs.ErrNotExist)
+	})
+}
--- a/internal/sidecar/snapshot.go
+++ b/internal/sidecar/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"rowancart/internal/proxy"
@@ -21,7 +22,8 @@
 	pool *proxy.Pool
 	log  *slog.Logger
 
-	lastDue time.Time // only the goroutine that writes snapshots uses it
+	lastDue time.Time   // only the goroutine that writes snapshots uses it
+	failed  atomic.Bool // the latest write has failed
 }
 
 // restore loads what the predecessor of this process had learned, if anything. The endpoint list
@@ -60,5 +62,7 @@
 // write replaces the snapshot. It does not wait for the disk: the file has to survive this process,
 // not the machine.
 func (s *snapshotStore) write() error {
-	return snapshot.WriteNoSync(s.path, time.Now(), s.pool.Snapshot())
+	err := snapshot.WriteNoSync(s.path, time.Now(), s.pool.Snapshot())
+	s.failed.Store(err != nil)
+	return err
 }
