--- a/internal/sidecar/snapshot.go
+++ b/internal/sidecar/snapshot.go
@@ -63,6 +63,8 @@
 // not the machine.
 func (s *snapshotStore) write() error {
 	err := snapshot.WriteNoSync(s.path, time.Now(), s.pool.Snapshot())
-	s.failed.Store(err != nil)
+	if hadFailed := s.failed.Swap(err != nil); hadFailed && err == nil {
+		s.removeLeftovers() // the directory works again
+	}
 	return err
 }
