--- a/review/driver/case1.go
+++ b/review/driver/case1.go
@@ -29,8 +29,8 @@
 	own, failed, foreign, toUnsafe int
 }
 
-// lateSecondAnswers: endpoints send some answers twice, the second time some milliseconds late. Each
-// request that is answered with 200 must have the body that an endpoint made for this request.
+// lateSecondAnswers: endpoints send some answers twice, the second time some milliseconds late.
+// Each request that is answered with 200 must have the body that an endpoint made for it.
 func lateSecondAnswers(e *environment) (string, error) {
 	var endpoints []*echoEndpoint
 	roster := ""
--- a/review/driver/case3.go
+++ b/review/driver/case3.go
@@ -73,8 +73,8 @@
 	}
 }
 
-// improperPaths: a few peers send requests whose paths are not proper. Each request that reaches an
-// endpoint must be one that was sent in this form: an improper one is refused, or at most unchanged.
+// improperPaths: a few peers send requests whose paths are not proper. Each request that reaches
+// an endpoint must be one that was sent in this form: an improper one is refused or unchanged.
 func improperPaths(e *environment) (string, error) {
 	l := &ledger{env: e, sent: map[string]target{}}
 	var addrs []string
--- a/review/driver/common.go
+++ b/review/driver/common.go
@@ -1,8 +1,9 @@
 // Command driver runs the cases of the review. Each case starts the project's programs as processes
-// of their own, plays clients, endpoints and the platform on loopback addresses, and checks one rule.
+// of their own, plays clients, endpoints and the platform on loopback addresses, and checks one
+// rule.
 //
-// Usage: driver CASE, with TROUBLE=0 in the environment to leave the disruption out. It exits with 1
-// if the rule was broken, 0 if it held, and 2 if the case could not run.
+// Usage: driver CASE, with TROUBLE=0 in the environment to leave the disruption out. It exits with
+// 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 package main
 
 import (
