--- a/review/driver/endpoint.go
+++ b/review/driver/endpoint.go
@@ -25,6 +25,7 @@
 	name        string
 	work        time.Duration
 	secondEvery int64 // every so many answers are sent twice; 0: none
+	quiet       bool  // requests are not written to the record
 
 	ran    atomic.Int64
 	second atomic.Int64
@@ -69,7 +70,9 @@
 		}
 		id := req.Header.Get("Req-Id")
 		n := s.ran.Add(1)
-		s.env.logf("%s: ran %s %s %s", s.name, id, req.Method, req.URL.Path)
+		if !s.quiet {
+			s.env.logf("%s: ran %s %s %s", s.name, id, req.Method, req.URL.Path)
+		}
 		time.Sleep(s.work)
 		body := answerTo(req.Method, req.URL.Path, id)
 		text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
