Count attempts that share a body, and uploads that end as body_gone

Four hypotheses are in docs/incidents; neither log nor metrics told whether two attempts wrote one body, and refused uploads (body_gone) were missing in rowancart_unserved_total. Change: rowancart_body_conflicts_total{pool} and body_conflicts in the status; body_gone is counted like other reasons. No decision changes. TestAbortedUploadIsCountedByItsReason failed before. go test -race of connpool, proxy, daemon, httpserver, sidecar and docs passes.

--- a/internal/connpool/exchange.go
+++ b/internal/connpool/exchange.go
@@ -121,7 +121,7 @@
 	if err := p.checkBeforeWrite(c, a); err != nil {
 		return exchangeResult{err: a.unsentFailure(err)}
 	}
-	if err := c.writeRequest(a, req); err != nil {
+	if err := p.writeRequest(c, a, req); err != nil {
 		response, err := p.resolvePartialWrite(c, a, req, err)
 		return exchangeResult{response: response, err: err}
 	}
@@ -140,6 +140,18 @@
 	return result
 }
 
+// writeRequest writes a request to a connection, and counts an attempt that begins to write a body,
+// part of which is still to be read from the client, while another attempt is writing it.
+func (p *Pool) writeRequest(c *conn, a *Attempt, req *Request) error {
+	if req.Upload != nil && req.Upload.Remaining != nil {
+		if req.Upload.writers.Add(1) > 1 {
+			p.bodyConflicts.Add(1)
+		}
+		defer req.Upload.writers.Add(-1)
+	}
+	return c.writeRequest(a, req)
+}
+
 // evaluateResponse returns a response as it is passed on to the client, or an *Error if the
 // response means that the attempt failed.
 func (p *Pool) evaluateResponse(r Response) (Response, error) {
--- a/internal/connpool/messages.go
+++ b/internal/connpool/messages.go
@@ -40,7 +40,8 @@
 	// If SentAt is nil, the time is unknown.
 	SentAt func() time.Time
 
-	consumed atomic.Bool // Remaining has been read from
+	consumed atomic.Bool  // Remaining has been read from
+	writers  atomic.Int32 // attempts that are writing the body
 }
 
 // bodyLength returns the length of the complete body in bytes; below 0 if it is unknown.
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -46,6 +46,7 @@
 	waitUntilDone   func(ctx context.Context) // blocks until ctx is done; tests replace it
 	passThrough     bool
 	requestsWritten atomic.Int64
+	bodyConflicts   atomic.Int64 // attempts that began to write an Upload while another attempt was writing it
 
 	// mu guards the fields below, the fields of every endpointConns, and the idleSince of idle
 	// connections. It is held for bookkeeping and for calls that don't block (closing a connection,
@@ -105,3 +106,7 @@
 
 // RequestsWritten returns how many requests have been written completely so far. It takes no lock.
 func (p *Pool) RequestsWritten() int64 { return p.requestsWritten.Load() }
+
+// BodyConflicts returns how many attempts have begun to write a body that another attempt of the
+// same request was writing. It takes no lock.
+func (p *Pool) BodyConflicts() int64 { return p.bodyConflicts.Load() }
--- /dev/null
+++ b/internal/connpool/upload_test.go
@@ -0,0 +1,164 @@
+package connpool
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	uploadPartSize  = 64 << 10 // bytes
+	uploadParts     = 16       // parts of an upload that are in memory; more than the sockets' buffers hold
+	uploadRestSize  = 1 << 20  // bytes that are read from the client
+	smallSendBuffer = 16 << 10 // bytes
+)
+
+// uploadEndpoint is a fake endpoint that receives one upload on each connection. It begins to read
+// the body once resume is closed, and responds to a complete one.
+type uploadEndpoint struct {
+	addr          string
+	headsReceived chan bool // gets a value for each head
+	resume        chan bool
+	uploads       chan receivedUpload // gets the result of each upload
+}
+
+// receivedUpload is the body that an endpoint has received, or the part of it before err.
+type receivedUpload struct {
+	body []byte
+	err  error
+}
+
+// startUploadEndpoint starts an endpoint whose receive buffer is small, so that a request to it
+// blocks before all of it is written.
+func startUploadEndpoint(t *testing.T) *uploadEndpoint {
+	t.Helper()
+	smallBuffer := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 64<<10)
+		})
+	}}
+	l, err := smallBuffer.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	e := &uploadEndpoint{
+		addr:          l.Addr().String(),
+		headsReceived: make(chan bool, 10),
+		resume:        make(chan bool),
+		uploads:       make(chan receivedUpload, 10),
+	}
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(nc)
+		}
+	}()
+	return e
+}
+
+func (e *uploadEndpoint) serve(nc net.Conn) {
+	defer nc.Close()
+	r, err := http.ReadRequest(bufio.NewReader(nc))
+	if err != nil {
+		return
+	}
+	e.headsReceived <- true
+	<-e.resume
+	body, err := io.ReadAll(r.Body)
+	e.uploads <- receivedUpload{body, err}
+	if err == nil {
+		io.WriteString(nc, okResponse)
+	}
+}
+
+// newUploadPool returns a Pool whose connections have small send buffers.
+func newUploadPool(t *testing.T, endpoints ...*uploadEndpoint) *Pool {
+	t.Helper()
+	p := New(Options{
+		IdleTimeout: time.Minute, DialTimeout: waitTimeout, MaxConns: 100,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			nc, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+			if err == nil {
+				err = nc.(*net.TCPConn).SetWriteBuffer(smallSendBuffer)
+			}
+			return nc, err
+		},
+	})
+	for i, e := range endpoints {
+		p.SetEndpoint(string(rune('a'+i)), e.addr, true)
+	}
+	t.Cleanup(p.closeAllIdle)
+	return p
+}
+
+// testUpload is an upload and the bytes that its client sends.
+type testUpload struct {
+	request *Request
+	sent    []byte
+}
+
+// newUpload returns an upload of unknown length. Once its memory is given back, the memory is
+// overwritten, as it is when another client's body gets it.
+func newUpload() testUpload {
+	var parts [][]byte
+	for i := range uploadParts {
+		parts = append(parts, bytes.Repeat([]byte{'a' + byte(i)}, uploadPartSize))
+	}
+	rest := bytes.Repeat([]byte{'z'}, uploadRestSize)
+	u := testUpload{request: newRequest("/c"), sent: append(bytes.Join(parts, nil), rest...)}
+	u.request.Method = http.MethodPost
+	u.request.ClientTimeout = waitTimeout
+	u.request.Upload = &Upload{
+		Length: -1, Buffered: parts, Remaining: bytes.NewReader(rest),
+		Release: func() {
+			for _, part := range parts {
+				copy(part, bytes.Repeat([]byte{'?'}, uploadPartSize))
+			}
+		},
+	}
+	return u
+}
+
+// sendAsync sends the upload to an endpoint in a new goroutine, which sends the attempt's outcome
+// to the channel.
+func (u testUpload) sendAsync(t *testing.T, p *Pool, a *Attempt, endpoint string) <-chan FailureKind {
+	ended := make(chan FailureKind, 1)
+	go func() {
+		kind, _ := roundTrip(t, p, a, endpoint, u.request)
+		ended <- kind
+	}()
+	return ended
+}
+
+// An attempt that finds its body in use by another attempt must show in the count of conflicts:
+// neither the log nor another metric tells that two attempts shared a body.
+func TestBodyConflictsAreCounted(t *testing.T) {
+	a, b := startUploadEndpoint(t), startUploadEndpoint(t)
+	p := newUploadPool(t, a, b)
+	u := newUpload()
+	first, second := attemptWithin(waitTimeout), attemptWithin(waitTimeout)
+	firstEnded := u.sendAsync(t, p, first, "a")
+	<-a.headsReceived // the attempt is blocked in the part of the body that is in memory
+	if n := p.BodyConflicts(); n != 0 {
+		t.Errorf("%d conflicts with one attempt, want none", n)
+	}
+	secondEnded := u.sendAsync(t, p, second, "b")
+	waitUntil(t, "one conflict is counted", func() bool { return p.BodyConflicts() == 1 })
+	second.Cancel()
+	<-secondEnded
+	first.Cancel()
+	<-firstEnded
+	if n := p.BodyConflicts(); n != 1 {
+		t.Errorf("%d conflicts of two attempts, want 1", n)
+	}
+}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -88,7 +88,7 @@
 		unserved:        map[balancer.Reason]prometheus.Counter{},
 		latency:         m.latency.WithLabelValues(route),
 	}
-	for _, reason := range balancer.Reasons {
+	for _, reason := range append([]balancer.Reason{proxy.BodyNotReplayable}, balancer.Reasons...) {
 		r.unserved[reason] = m.unserved.WithLabelValues(route, string(reason))
 	}
 	for kind, label := range resultLabels {
@@ -139,8 +139,10 @@
 	endpointsDesc  = newDesc("rowancart_endpoints", "Endpoints of a pool, by state.", "pool", "state")
 	requestsDesc   = newDesc("rowancart_calls", "Requests that a pool is at work on.", "pool")
 	poolConnsDesc  = newDesc("rowancart_pool_connections", "Connections open to the endpoints of a pool.", "pool")
-	connsDesc      = newDesc("rowancart_connections", "Callers' connections, by listener.", "listener")
-	rejectedDesc   = newDesc("rowancart_turned_away_total", "Connections turned away for lack of places, by listener.",
+	conflictsDesc  = newDesc("rowancart_body_conflicts_total",
+		"Attempts that found the body of their request in use by another attempt, by pool.", "pool")
+	connsDesc    = newDesc("rowancart_connections", "Callers' connections, by listener.", "listener")
+	rejectedDesc = newDesc("rowancart_turned_away_total", "Connections turned away for lack of places, by listener.",
 		"listener")
 )
 
@@ -151,7 +153,8 @@
 // Describe implements prometheus.Collector.
 func (c *statusCollector) Describe(out chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		generationDesc, reloadsDesc, endpointsDesc, requestsDesc, poolConnsDesc, connsDesc, rejectedDesc,
+		generationDesc, reloadsDesc, endpointsDesc, requestsDesc, poolConnsDesc, conflictsDesc, connsDesc,
+		rejectedDesc,
 	} {
 		out <- d
 	}
@@ -178,6 +181,7 @@
 		gauge(endpointsDesc, p.Draining, p.Name, endpointDraining)
 		gauge(requestsDesc, p.Calls, p.Name)
 		gauge(poolConnsDesc, p.Connections, p.Name)
+		counter(conflictsDesc, int(p.BodyConflicts), p.Name)
 	}
 	for _, l := range s.Listeners {
 		if !l.Removed {
--- a/internal/daemon/reason_test.go
+++ b/internal/daemon/reason_test.go
@@ -1,6 +1,9 @@
 package daemon
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -68,3 +71,39 @@
 		}
 	}
 }
+
+// An upload that its endpoint aborts cannot be sent again. It must be counted by its reason like
+// every other request that is not served: the reason was missing in the metrics.
+func TestAbortedUploadIsCountedByItsReason(t *testing.T) {
+	const readByEndpoint = 4 << 20 // more than is buffered of a body
+	const length = 24 << 20        // more than the sockets' buffers hold besides
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		io.CopyN(io.Discard, nc, readByEndpoint)
+		nc.Close()
+	}()
+	s := startDaemon(t, poolBlock("aborts", l.Addr().String())+routeBlock("upload", "/upload", "write", "aborts", ""))
+	client, err := net.Dial("tcp", s.Addr("front").String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close() })
+	go fmt.Fprintf(client, "POST /upload HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s",
+		length, strings.Repeat("x", length-1))
+	resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("response %+v, error %v; want status 503", resp, err)
+	}
+	const want = `rowancart_unserved_total{reason="body_gone",route="upload"} 1`
+	testpeer.WaitUntil(t, "the metrics contain "+want, func() bool {
+		return strings.Contains(s.requestAdmin(http.MethodGet, "/metrics").body, want)
+	})
+}
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -191,6 +191,10 @@
 	Ready       int `json:"ready"`       // endpoints that accept new requests
 	Draining    int `json:"draining"`    // endpoints that do not, since they are draining or disabled
 	Connections int `json:"connections"` // open connections to endpoints, including idle ones and dials in progress
+
+	// BodyConflicts counts the attempts that found the body of their request in use by another
+	// attempt.
+	BodyConflicts int64 `json:"body_conflicts"`
 }
 
 // Stats returns the current numbers.
@@ -200,5 +204,6 @@
 	conns := p.conns.Counts()
 	return Stats{
 		Calls: p.calls.size(), Ready: conns.Accepting, Draining: conns.Draining, Connections: conns.Open,
+		BodyConflicts: p.conns.BodyConflicts(),
 	}
 }
