Keep a body's memory while an attempt writes from it

Cause: the hedged attempt gave the body's buffers back before it read the rest from the client, though the first attempt was still writing from them; the next client's body was read into them. Nothing said who used a body. Evidence: foreign bytes began at 819,200 and were those of the other body at 360,448: the pool hands buffers out last in, first out and keeps 16, so that buffer 11 of one body became buffer 4 of the next. body_conflicts equals the changed bodies. Change: package sharedbody: attempts reach the bytes through a Lease alone, and the memory is given back once no lease uses it. TestBodyMemoryIsNotReusedWhileAnAttemptWritesIt failed on ("of which those from 131072 on are not the client's", and by the race detector); it passes now. Why it works: the bytes are out of reach without a lease, and the last lease frees them.

--- a/internal/connpool/attempt.go
+++ b/internal/connpool/attempt.go
@@ -17,7 +17,7 @@
 type Attempt struct {
 	Deadline           time.Time
 	WriteBy            time.Time   // deadline for writing the complete request; zero: Deadline applies
-	OnRequestWritten   func()      // called when a request with an Upload has been written completely; may be nil
+	OnRequestWritten   func()      // called when a request with a long body has been written completely; may be nil
 	ClientDisconnected func() bool // reports whether the client has disconnected; must not block. nil: unknown
 
 	mu             sync.Mutex // guards the fields below; held while inProgress is closed, which doesn't block
--- a/internal/connpool/errors.go
+++ b/internal/connpool/errors.go
@@ -10,8 +10,8 @@
 
 // The kinds of failure. NotSent, ConnectFailed and Declined prove that the request has not run.
 const (
-	// NotSent: no byte was sent, or the request body could not be read completely from the client.
-	// It is not a failure of the endpoint.
+	// NotSent: no byte was sent, or the request body could not be read completely from the client,
+	// or not be sent by this attempt. It is not a failure of the endpoint.
 	NotSent FailureKind = iota + 1
 	// ConnectFailed: no connection was established, or it broke before the request was written
 	// completely.
@@ -96,6 +96,7 @@
 	errStaleConn           = errors.New("connection was closed, or received input, before anything was sent")
 	errWriteFailed         = errors.New("connection broke before the request was written completely")
 	errEarlyResponse       = errors.New("input arrived before the request was written completely")
+	errBodyUnavailable     = errors.New("request body can't be sent by this attempt")
 	errUploadFailed        = errors.New("request body could not be read completely from the client")
 	errConnClosed          = errors.New("connection is closed")
 	errDeclined            = errors.New("endpoint declined the request")
--- a/internal/connpool/exchange.go
+++ b/internal/connpool/exchange.go
@@ -127,7 +127,7 @@
 	}
 	a.markRequestWritten()
 	p.requestsWritten.Add(1)
-	if req.Upload != nil && a.OnRequestWritten != nil {
+	if req.Body.IsLong() && a.OnRequestWritten != nil {
 		a.OnRequestWritten()
 	}
 	received, err := responseReader{pool: p, conn: c, deadline: a.Deadline}.read(req.Method)
@@ -143,11 +143,11 @@
 // writeRequest writes a request to a connection, and counts an attempt that begins to write a body,
 // part of which is still to be read from the client, while another attempt is writing it.
 func (p *Pool) writeRequest(c *conn, a *Attempt, req *Request) error {
-	if req.Upload != nil && req.Upload.Remaining != nil {
-		if req.Upload.writers.Add(1) > 1 {
+	if req.Body.HasRest() {
+		if req.writers.Add(1) > 1 {
 			p.bodyConflicts.Add(1)
 		}
-		defer req.Upload.writers.Add(-1)
+		defer req.writers.Add(-1)
 	}
 	return c.writeRequest(a, req)
 }
@@ -189,10 +189,10 @@
 // endpoint does not run a request before its last byte has arrived. So the request counts as not
 // run, unless a complete early response with status 200 was read.
 func (p *Pool) resolvePartialWrite(c *conn, a *Attempt, req *Request, writeErr error) (Response, error) {
-	if errors.Is(writeErr, errUploadFailed) {
+	if errors.Is(writeErr, errUploadFailed) || errors.Is(writeErr, errBodyUnavailable) {
 		return Response{}, &Error{Kind: NotSent, Err: writeErr} // not a failure of the endpoint
 	}
-	if req.Upload == nil || a.isCanceled() {
+	if !req.Body.IsLong() || a.isCanceled() {
 		return Response{}, a.failure(ConnectFailed, writeErr)
 	}
 	early, err := p.readEarlyResponse(c, req.Method)
--- a/internal/connpool/exchange_test.go
+++ b/internal/connpool/exchange_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"rowancart/internal/platform"
+	"rowancart/internal/sharedbody"
 	"rowancart/internal/testpeer"
 )
 
@@ -115,7 +116,8 @@
 		}
 	}()
 	req := newRequest("/c")
-	req.Method, req.Body = http.MethodPost, make([]byte, 64<<20) // more than socket buffers hold
+	req.Method = http.MethodPost
+	req.Body = sharedbody.New(make([]byte, 64<<20), nil) // more than socket buffers hold
 	if r, _ := roundTrip(t, newTestPool(t, l.Addr().String()), attemptWithin(waitTimeout), "a", req); r != ConnectFailed {
 		t.Errorf("outcome %v, want connect failed", r)
 	}
--- a/internal/connpool/upload.go
+++ b/internal/connpool/longbody.go
@@ -8,34 +8,31 @@
 	"time"
 
 	"rowancart/internal/http1"
+	"rowancart/internal/sharedbody"
 )
 
 // uploadCheckInterval is the time between two checks of the client's deadline while an endpoint
 // does not read the upload.
 const uploadCheckInterval = 100 * time.Millisecond
 
-// writeUploadRequest writes a request that has an Upload. Data that is read from the client is
-// written before more is read, so that a slow endpoint slows the client down and no data
-// accumulates in this process. If a part of the body was still to be read from the client, the
-// attempt's deadline becomes the client's, which is known only once the body has been sent.
-func (c *conn) writeUploadRequest(a *Attempt, req *Request) error {
-	upload := req.Upload
-	if upload.Remaining != nil && upload.consumed.Load() {
-		return errUploadFailed // another attempt has read from it
-	}
+// writeLongRequest writes a request with a long body. Data that is read from the client is written
+// before more is read, so that a slow endpoint slows the client down and no data accumulates in
+// this process. If a part of the body was still to be read from the client, the attempt's deadline
+// becomes the client's, which is known only once the body has been sent.
+func (c *conn) writeLongRequest(a *Attempt, req *Request, body *sharedbody.Lease) error {
 	timeout := time.Until(a.Deadline)
-	if upload.Remaining != nil {
-		timeout = time.Until(req.clientDeadline())
+	if body.HasRest() {
+		timeout = time.Until(req.clientDeadline(body))
 	}
 	c.writeBuffer = req.appendHead(c.writeBuffer[:0], timeout)
 	if err := c.writeAll(c.writeBuffer); err != nil {
 		return err
 	}
-	if err := c.writeUpload(req); err != nil {
+	if err := c.writeLongBody(req, body); err != nil {
 		return err
 	}
-	if upload.Remaining != nil {
-		a.Deadline = req.clientDeadline()
+	if body.HasRest() {
+		a.Deadline = req.clientDeadline(body)
 		// An error means that the attempt was canceled, and reading the response then fails too. The
 		// request has been written and may run, so the error must not be reported as a failed write.
 		_ = c.SetDeadline(a.Deadline)
@@ -43,53 +40,50 @@
 	return nil
 }
 
-// writeUpload writes the body of a request with an Upload.
-func (c *conn) writeUpload(req *Request) error {
+// writeLongBody writes a long body.
+func (c *conn) writeLongBody(req *Request, body *sharedbody.Lease) error {
 	buffer := http1.Buffers.Get().(*[]byte)
 	defer http1.Buffers.Put(buffer)
-	w := uploadWriter{conn: c, request: req, upload: req.Upload, buffer: *buffer}
-	if err := w.writeBuffered(req.Body); err != nil {
-		return err
-	}
-	for _, b := range w.upload.Buffered {
-		if err := w.writeBuffered(b); err != nil {
+	w := bodyWriter{conn: c, request: req, body: body, buffer: *buffer}
+	for _, part := range body.Parts() {
+		if err := w.writePart(part); err != nil {
 			return err
 		}
 	}
-	if w.upload.Remaining == nil {
+	if !body.HasRest() {
 		return nil
 	}
-	return w.writeRemaining()
+	return w.writeRest()
 }
 
-// uploadWriter writes the pieces of a long body to a connection.
-type uploadWriter struct {
+// bodyWriter writes the pieces of a long body to a connection.
+type bodyWriter struct {
 	conn    *conn
 	request *Request
-	upload  *Upload
+	body    *sharedbody.Lease
 	buffer  []byte // one of http1.Buffers: holds a piece of the body, with space for its chunk framing
 }
 
 // piece returns the part of the buffer that holds a piece of the body, without the space for chunk
 // framing.
-func (w *uploadWriter) piece() []byte {
+func (w *bodyWriter) piece() []byte {
 	return w.buffer[http1.ChunkHeadSize : http1.ChunkHeadSize+http1.BufferSize]
 }
 
 // framedPiece returns the first n bytes of piece in the form in which they are written: framed as a
 // chunk if the length of the body is unknown, otherwise as they are.
-func (w *uploadWriter) framedPiece(n int) []byte {
-	if w.upload.Length < 0 {
+func (w *bodyWriter) framedPiece(n int) []byte {
+	if w.request.Body.Length() < 0 {
 		return http1.FrameChunk(w.buffer, n)
 	}
 	return w.piece()[:n]
 }
 
-// writeBuffered writes a part of the body that is in memory.
-func (w *uploadWriter) writeBuffered(body []byte) error {
-	for len(body) > 0 {
-		n := copy(w.piece(), body)
-		body = body[n:]
+// writePart writes a part of the body that is in memory.
+func (w *bodyWriter) writePart(part []byte) error {
+	for len(part) > 0 {
+		n := copy(w.piece(), part)
+		part = part[n:]
 		if err := w.conn.writeAll(w.framedPiece(n)); err != nil {
 			return err
 		}
@@ -97,18 +91,15 @@
 	return nil
 }
 
-// writeRemaining reads the rest of the body from the client and writes it. Once it has begun to
-// read, the request can't be sent again.
-func (w *uploadWriter) writeRemaining() error {
+// writeRest reads the rest of the body from the client and writes it. Once it has begun to read,
+// the request can't be sent again.
+func (w *bodyWriter) writeRest() error {
 	if w.conn.hasPendingInput() {
 		return errEarlyResponse
 	}
-	w.upload.consumed.Store(true)
-	if w.upload.Release != nil {
-		w.upload.Release()
-	}
+	rest := w.body.StartRest()
 	for {
-		n, err := w.upload.Remaining.Read(w.piece())
+		n, err := rest.Read(w.piece())
 		if n > 0 {
 			if err := w.writePiece(n); err != nil {
 				return err
@@ -124,8 +115,8 @@
 }
 
 // writeEnd writes the last chunk, which ends the body, if the length of the body is unknown.
-func (w *uploadWriter) writeEnd() error {
-	if w.upload.Length >= 0 {
+func (w *bodyWriter) writeEnd() error {
+	if w.request.Body.Length() >= 0 {
 		return nil
 	}
 	return w.conn.writeAll([]byte(http1.LastChunk))
@@ -133,7 +124,7 @@
 
 // writePiece writes the first n bytes of piece, which have just been read from the client. It
 // returns errEarlyResponse if the endpoint has responded or closed the connection meanwhile.
-func (w *uploadWriter) writePiece(n int) error {
+func (w *bodyWriter) writePiece(n int) error {
 	if w.conn.hasPendingInput() {
 		return errEarlyResponse
 	}
@@ -156,8 +147,8 @@
 // stallDeadline returns the time by which the endpoint must have read a piece whose write began at
 // start. It has to be computed again during the write, because the client's deadline is not fixed
 // until the client has sent the complete body.
-func (w *uploadWriter) stallDeadline(start time.Time) time.Time {
-	return earlier(start.Add(http1.StreamIdleTimeout), w.request.clientDeadline())
+func (w *bodyWriter) stallDeadline(start time.Time) time.Time {
+	return earlier(start.Add(http1.StreamIdleTimeout), w.request.clientDeadline(w.body))
 }
 
 // earlier returns the earlier of two times.
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -46,7 +46,7 @@
 	waitUntilDone   func(ctx context.Context) // blocks until ctx is done; tests replace it
 	passThrough     bool
 	requestsWritten atomic.Int64
-	bodyConflicts   atomic.Int64 // attempts that began to write an Upload while another attempt was writing it
+	bodyConflicts   atomic.Int64 // attempts that began to write a body while another attempt was writing it
 
 	// mu guards the fields below, the fields of every endpointConns, and the idleSince of idle
 	// connections. It is held for bookkeeping and for calls that don't block (closing a connection,
--- a/internal/connpool/requesthead.go
+++ b/internal/connpool/requesthead.go
@@ -31,7 +31,7 @@
 			appendText(name, ": ", v, "\r\n")
 		}
 	}
-	switch length := r.bodyLength(); {
+	switch length := r.Body.Length(); {
 	case length < 0:
 		appendText("Transfer-Encoding: chunked\r\n")
 	case length > 0 || expectsBody(r.Method):
--- a/internal/connpool/upload_test.go
+++ b/internal/connpool/upload_test.go
@@ -7,9 +7,12 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"rowancart/internal/sharedbody"
 )
 
 const (
@@ -118,17 +121,31 @@
 	u := testUpload{request: newRequest("/c"), sent: append(bytes.Join(parts, nil), rest...)}
 	u.request.Method = http.MethodPost
 	u.request.ClientTimeout = waitTimeout
-	u.request.Upload = &Upload{
-		Length: -1, Buffered: parts, Remaining: bytes.NewReader(rest),
-		Release: func() {
+	u.request.Body = sharedbody.NewLong(sharedbody.Long{
+		Length: -1, Parts: parts, Rest: &testRest{reader: bytes.NewReader(rest)},
+		Free: func() {
 			for _, part := range parts {
 				copy(part, bytes.Repeat([]byte{'?'}, uploadPartSize))
 			}
 		},
-	}
+	})
 	return u
 }
 
+// testRest is the rest of a body, whose last byte has just been sent.
+type testRest struct {
+	mu     sync.Mutex
+	reader io.Reader
+}
+
+func (r *testRest) Read(p []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reader.Read(p)
+}
+
+func (r *testRest) SentAt() time.Time { return time.Now() }
+
 // sendAsync sends the upload to an endpoint in a new goroutine, which sends the attempt's outcome
 // to the channel.
 func (u testUpload) sendAsync(t *testing.T, p *Pool, a *Attempt, endpoint string) <-chan FailureKind {
@@ -162,3 +179,32 @@
 		t.Errorf("%d conflicts of two attempts, want 1", n)
 	}
 }
+
+// Two attempts of one request are in flight, and the second one reads the body past the part that
+// is in memory. The memory must not be given back while the first attempt writes from it: its
+// endpoint received parts of other clients' bodies.
+func TestBodyMemoryIsNotReusedWhileAnAttemptWritesIt(t *testing.T) {
+	a, b := startUploadEndpoint(t), startUploadEndpoint(t)
+	close(b.resume)
+	p := newUploadPool(t, a, b)
+	u := newUpload()
+	ended := u.sendAsync(t, p, attemptWithin(waitTimeout), "a")
+	<-a.headsReceived // the attempt is blocked in the part of the body that is in memory
+	roundTrip(t, p, attemptWithin(waitTimeout), "b", u.request)
+	close(a.resume)
+	if got := <-a.uploads; !bytes.HasPrefix(u.sent, got.body) {
+		t.Errorf("the endpoint received %d bytes, of which those from %d on are not the client's",
+			len(got.body), commonPrefixLength(got.body, u.sent))
+	}
+	<-ended
+}
+
+// commonPrefixLength returns the number of leading bytes that are the same in b and c.
+func commonPrefixLength(b, c []byte) int {
+	for i := range min(len(b), len(c)) {
+		if b[i] != c[i] {
+			return i
+		}
+	}
+	return min(len(b), len(c))
+}
--- a/internal/connpool/write.go
+++ b/internal/connpool/write.go
@@ -11,18 +11,33 @@
 const maxCoalescedBody = 4 << 10
 
 // writeRequest writes a request completely, or returns an error that wraps errWriteFailed,
-// errEarlyResponse or errUploadFailed.
+// errEarlyResponse, errUploadFailed or errBodyUnavailable.
 func (c *conn) writeRequest(a *Attempt, req *Request) error {
-	if req.Upload != nil {
-		return c.writeUploadRequest(a, req)
+	if req.Body == nil {
+		return c.writeShortRequest(a, req, nil)
 	}
+	body, err := req.Body.Acquire()
+	if err != nil {
+		return fmt.Errorf("%w: %w", errBodyUnavailable, err)
+	}
+	defer body.End()
+	if req.Body.IsLong() {
+		return c.writeLongRequest(a, req, body)
+	}
+	return c.writeShortRequest(a, req, body.Parts())
+}
+
+// writeShortRequest writes a request whose body is not long.
+func (c *conn) writeShortRequest(a *Attempt, req *Request, parts [][]byte) error {
 	c.writeBuffer = req.appendHead(c.writeBuffer[:0], time.Until(a.Deadline))
-	if len(req.Body) <= maxCoalescedBody {
-		c.writeBuffer = append(c.writeBuffer, req.Body...)
+	if req.Body.Length() <= maxCoalescedBody {
+		for _, part := range parts {
+			c.writeBuffer = append(c.writeBuffer, part...)
+		}
 		return c.writeAll(c.writeBuffer)
 	}
-	length := int64(len(c.writeBuffer) + len(req.Body))
-	buffers := net.Buffers{c.writeBuffer, req.Body}
+	length := int64(len(c.writeBuffer)) + req.Body.Length()
+	buffers := append(net.Buffers{c.writeBuffer}, parts...)
 	if n, err := buffers.WriteTo(c.Conn); n != length {
 		return fmt.Errorf("%w: %w", errWriteFailed, err)
 	}
--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -10,6 +10,7 @@
 
 	"rowancart/internal/platform"
 	"rowancart/internal/proxy"
+	"rowancart/internal/sharedbody"
 )
 
 const (
@@ -186,7 +187,7 @@
 	if target.Done != nil {
 		defer func() { target.Done(f.outcome) }()
 	}
-	f.message = &proxy.RequestMessage{Body: body.data, Release: body.releaseData}
+	f.message = &proxy.RequestMessage{}
 	if rejection := c.server.completeMessage(f.message, r, &f.target, body); rejection != nil {
 		return c.rejectUnread(r, body, rejection)
 	}
@@ -197,6 +198,9 @@
 	if body.streamed != nil {
 		return c.forwardStreamed(&f)
 	}
+	if body.data != nil {
+		f.message.Body = sharedbody.New(body.data, body.releaseData)
+	}
 	f.outcome.Forwarded = true
 	f.outcome.Result = c.do(target.Pool, f.call)
 	return c.writeResult(r, f.outcome.Result)
@@ -208,21 +212,17 @@
 // forwardStreamed passes a request with a long body to its pool and writes the pool's response.
 // The pool reads the part of the body that is not buffered from the connection.
 func (c *conn) forwardStreamed(f *forwarding) bool {
-	body, streamed := f.body, f.body.streamed
-	upload, err := streamed.bufferAhead()
+	streamed := f.body.streamed
+	body, err := streamed.bufferAhead(f.body.data, f.body.releaseData)
 	if err != nil {
-		body.release()
+		f.body.release()
 		return c.reject(f.request, bodyRejection(err))
 	}
-	f.message.Upload = upload
-	f.message.Release = func() {
-		body.release()
-		streamed.release()
-	}
+	f.message.Body = body
 	pool := f.target.Pool
 	f.call.Streamed = true
 	f.call.Deadline = pool.Now() - time.Since(c.reader.earliestSentAt) + f.message.ClientTimeout
-	if upload.Remaining != nil {
+	if body.HasRest() {
 		f.call.Deadline = pool.Now() + f.message.ClientTimeout + streamed.timeLimit()
 	}
 	f.outcome.Forwarded = true
--- a/internal/httpserver/request.go
+++ b/internal/httpserver/request.go
@@ -197,7 +197,7 @@
 	return nil
 }
 
-// completeMessage completes the message for the endpoints, which already has the body. It rejects
+// completeMessage completes the message for the endpoints, except for the body. It rejects
 // a request whose method or headers are not acceptable.
 func (s *Server) completeMessage(m *proxy.RequestMessage, r *http.Request, target *Target,
 	body receivedBody) *Rejection {
--- a/internal/httpserver/requestbody.go
+++ b/internal/httpserver/requestbody.go
@@ -197,7 +197,7 @@
 	received.data = received.data[:n]
 	if !body.ended() {
 		received.streamed = &streamedBody{
-			requestBody: body, length: length, prefixLength: n, buffers: &c.server.bodyBuffers, socket: c.socket,
+			requestBody: body, length: length, buffers: &c.server.bodyBuffers, socket: c.socket,
 		}
 	}
 	return received, nil
--- a/internal/httpserver/streamedbody.go
+++ b/internal/httpserver/streamedbody.go
@@ -1,10 +1,10 @@
 package httpserver
 
 import (
-	"sync"
 	"time"
 
 	"rowancart/internal/proxy"
+	"rowancart/internal/sharedbody"
 )
 
 // streamedBody is a request's body that is longer than proxy.MaxBody. Its beginning has been read.
@@ -13,44 +13,53 @@
 type streamedBody struct {
 	*requestBody
 	length        int64 // bytes; negative: unknown
-	prefixLength  int   // bytes that readBody has read
 	buffers       *bodyBufferPool
 	socket        socket    // of the connection
 	receivedAhead int64     // bytes received before the rest is streamed
-	sentAt        time.Time // result of lastByteSentAt, once the last byte is known to have arrived; zero before
+	sentAt        time.Time // result of SentAt, once the last byte is known to have arrived; zero before
 
-	releaseOnce sync.Once
-	buffered    [][]byte // from buffers; not changed after bufferAhead
+	buffered [][]byte // from buffers; not changed after bufferAhead
 }
 
-// bufferAhead buffers the body as far as its quota of the buffers allows, and returns the upload
-// that a pool forwards: the complete buffered body, or its buffered part and a reader of the rest.
-// A body of known length that exceeds the quota is not buffered at all.
-func (b *streamedBody) bufferAhead() (*proxy.Upload, error) {
+// bufferAhead buffers the body as far as its quota of the buffers allows, and returns the body that
+// a pool forwards. It consists of prefix, which readBody has read, the buffers, and the rest that
+// is still to be read, if any. freePrefix gives back the memory of prefix; it may be nil. A body of
+// known length that exceeds the quota is not buffered at all.
+func (b *streamedBody) bufferAhead(prefix []byte, freePrefix func()) (*sharedbody.Body, error) {
 	maxBuffers := b.buffers.maxPerBody()
-	total := int64(b.prefixLength)
+	total := int64(len(prefix))
 	if b.length < 0 || b.length-total <= int64(maxBuffers)*bodyBufferSize {
 		n, err := b.fillBuffers(maxBuffers)
 		if err != nil {
-			b.release()
+			b.buffers.put(b.buffered)
 			return nil, err
 		}
 		total += n
 	}
+	long := sharedbody.Long{
+		Length: b.length,
+		Parts:  append([][]byte{prefix}, b.buffered...),
+		Free: func() {
+			b.buffers.put(b.buffered)
+			if freePrefix != nil {
+				freePrefix()
+			}
+		},
+	}
 	if b.ended() {
-		return &proxy.Upload{Buffered: b.buffered, Length: total}, nil
+		long.Length = total
+	} else {
+		b.receivedAhead = b.source.pace.received
+		long.Rest = b
 	}
-	b.receivedAhead = b.source.pace.received
-	return &proxy.Upload{
-		Buffered: b.buffered, Length: b.length, Remaining: b.requestBody, Release: b.release, SentAt: b.lastByteSentAt,
-	}, nil
+	return sharedbody.NewLong(long), nil
 }
 
-// lastByteSentAt returns the earliest time at which the client can have sent the last byte of the
-// body, or the current time if the client cannot have sent it yet. While there is unread data, the
-// rest may have been sent right after the data that was read last, because some of it may still be
-// in the client's own buffers.
-func (b *streamedBody) lastByteSentAt() time.Time {
+// SentAt implements sharedbody.Rest. It returns the earliest time at which the client can have sent
+// the last byte of the body, or the current time if the client cannot have sent it yet. While there
+// is unread data, the rest may have been sent right after the data that was read last, because some
+// of it may still be in the client's own buffers.
+func (b *streamedBody) SentAt() time.Time {
 	reader := b.source.reader
 	unread := b.socket.unreadBytes()
 	isStreaming := b.source.pace.received > b.receivedAhead
@@ -94,11 +103,6 @@
 	return total, nil
 }
 
-// release returns the buffers to their pool. It may be called more than once.
-func (b *streamedBody) release() {
-	b.releaseOnce.Do(func() { b.buffers.put(b.buffered) })
-}
-
 // timeLimit returns how long the rest of the body may take.
 func (b *streamedBody) timeLimit() time.Duration {
 	length := int64(proxy.MaxStreamedBody)
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -144,7 +144,7 @@
 	if r == balancer.OK {
 		p.finishCall(c, Result{Kind: Served, Response: response})
 	}
-	if !c.finished && c.message.BodyConsumed() { // no other attempt is possible, regardless of the Balancer's decision
+	if !c.finished && c.message.Body.Consumed() { // no other attempt is possible, regardless of the Balancer's decision
 		p.finishNotReplayable(c, r)
 	}
 	p.events.Outcome(now, balancer.Outcome{
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -35,7 +35,7 @@
 // returns one.
 //
 // A call is in progress from startCall until it has its result and none of its attempts is in
-// flight. Only then may the buffers of its body be reused.
+// flight. Then its body is released.
 type Call struct {
 	balancer.Request
 
@@ -153,7 +153,5 @@
 		return
 	}
 	p.calls.remove(c)
-	if c.message.Release != nil {
-		c.message.Release()
-	}
+	c.message.Body.Release()
 }
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -16,8 +16,6 @@
 type (
 	// RequestMessage is a request in the form in which it is sent to endpoints.
 	RequestMessage = connpool.Request
-	// Upload is the part of a request's body that follows the part in RequestMessage.Body.
-	Upload = connpool.Upload
 	// Response is an endpoint's response.
 	Response = connpool.Response
 	// Stream is the rest of a response body that is forwarded while it arrives.
