Let only one attempt write a body that is received from the client

Cause: an attempt checked whether the rest of the body had been read before it wrote the part in memory. A hedged attempt read the rest meanwhile; the first one then found the body at its end and wrote the last chunk. Where both read at once, each endpoint got a part of it. Change: sharedbody.Body gives one lease at a time for a body with a rest; a second attempt ends as not sent, before it writes a byte, and counts in body_conflicts. A body that is completely in memory may have several leases as before. Why it works: the lease is taken under the body's lock before the head is written and kept until the request is written.

--- a/internal/connpool/exchange.go
+++ b/internal/connpool/exchange.go
@@ -9,6 +9,7 @@
 
 	"rowancart/internal/http1"
 	"rowancart/internal/platform"
+	"rowancart/internal/sharedbody"
 )
 
 // earlyResponseTimeout limits how long reading a response may take if it arrived before the request
@@ -140,16 +141,13 @@
 	return result
 }
 
-// writeRequest writes a request to a connection, and counts an attempt that begins to write a body,
-// part of which is still to be read from the client, while another attempt is writing it.
+// writeRequest writes a request to a connection, and counts a body that is in use.
 func (p *Pool) writeRequest(c *conn, a *Attempt, req *Request) error {
-	if req.Body.HasRest() {
-		if req.writers.Add(1) > 1 {
-			p.bodyConflicts.Add(1)
-		}
-		defer req.writers.Add(-1)
+	err := c.writeRequest(a, req)
+	if errors.Is(err, sharedbody.ErrInUse) {
+		p.bodyConflicts.Add(1)
 	}
-	return c.writeRequest(a, req)
+	return err
 }
 
 // evaluateResponse returns a response as it is passed on to the client, or an *Error if the
--- a/internal/connpool/messages.go
+++ b/internal/connpool/messages.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"net/url"
-	"sync/atomic"
 	"time"
 
 	"rowancart/internal/sharedbody"
@@ -24,8 +23,6 @@
 	Header        http.Header      // end-to-end headers; the deadline header is written for each attempt
 	Body          *sharedbody.Body // nil: none
 	ClientTimeout time.Duration    // how long the client waits, once it has sent the last byte of a long body
-
-	writers atomic.Int32 // attempts that are writing a body that has a rest
 }
 
 // clientDeadline returns the earliest time at which the client of a request, part of whose body is
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -46,7 +46,7 @@
 	waitUntilDone   func(ctx context.Context) // blocks until ctx is done; tests replace it
 	passThrough     bool
 	requestsWritten atomic.Int64
-	bodyConflicts   atomic.Int64 // attempts that began to write a body while another attempt was writing it
+	bodyConflicts   atomic.Int64 // attempts not sent because another attempt was writing their body
 
 	// mu guards the fields below, the fields of every endpointConns, and the idleSince of idle
 	// connections. It is held for bookkeeping and for calls that don't block (closing a connection,
@@ -107,6 +107,6 @@
 // RequestsWritten returns how many requests have been written completely so far. It takes no lock.
 func (p *Pool) RequestsWritten() int64 { return p.requestsWritten.Load() }
 
-// BodyConflicts returns how many attempts have begun to write a body that another attempt of the
-// same request was writing. It takes no lock.
+// BodyConflicts returns how many attempts were not sent because another attempt of the same request
+// was writing its body. It takes no lock.
 func (p *Pool) BodyConflicts() int64 { return p.bodyConflicts.Load() }
--- a/internal/connpool/upload_test.go
+++ b/internal/connpool/upload_test.go
@@ -169,10 +169,9 @@
 	if n := p.BodyConflicts(); n != 0 {
 		t.Errorf("%d conflicts with one attempt, want none", n)
 	}
-	secondEnded := u.sendAsync(t, p, second, "b")
-	waitUntil(t, "one conflict is counted", func() bool { return p.BodyConflicts() == 1 })
-	second.Cancel()
-	<-secondEnded
+	if kind := <-u.sendAsync(t, p, second, "b"); kind != NotSent {
+		t.Errorf("the second attempt: outcome %v, want not sent", kind)
+	}
 	first.Cancel()
 	<-firstEnded
 	if n := p.BodyConflicts(); n != 1 {
@@ -208,3 +207,35 @@
 	}
 	return min(len(b), len(c))
 }
+
+// Two attempts of one request are in flight. Only one of them may read the part of the body that is
+// received from the client: the other one found the body at its end, ended the request after the
+// part in memory, and its endpoint ran a request that no client had sent.
+func TestOneAttemptReadsTheBodyFromTheClient(t *testing.T) {
+	a, b := startUploadEndpoint(t), startUploadEndpoint(t)
+	close(b.resume)
+	p := newUploadPool(t, a, b)
+	u := newUpload()
+	ended := u.sendAsync(t, p, attemptWithin(waitTimeout), "a")
+	<-a.headsReceived // the attempt is blocked in the part of the body that is in memory
+	roundTrip(t, p, attemptWithin(waitTimeout), "b", u.request)
+	close(a.resume)
+	<-ended
+	completed := 0
+	for name, e := range map[string]*uploadEndpoint{"a": a, "b": b} {
+		select {
+		case got := <-e.uploads:
+			if got.err != nil {
+				continue // an incomplete request does not run
+			}
+			completed++
+			if len(got.body) != len(u.sent) {
+				t.Errorf("endpoint %s received a complete request with %d of %d bytes", name, len(got.body), len(u.sent))
+			}
+		default: // no request was sent to it
+		}
+	}
+	if completed != 1 {
+		t.Errorf("%d endpoints received a complete request, want 1", completed)
+	}
+}
--- a/internal/sharedbody/sharedbody.go
+++ b/internal/sharedbody/sharedbody.go
@@ -2,7 +2,9 @@
 //
 // A request may have several attempts in flight, and its owner may finish it before they have all
 // ended. So no attempt reaches the bytes of a Body other than through a Lease, and the memory of
-// the bytes is given back only when no lease uses it any more.
+// the bytes is given back only when no lease uses it any more. A body that is still being received
+// from the client has one lease at a time: two attempts that read from the client would each get a
+// part of the body.
 package sharedbody
 
 import (
@@ -14,6 +16,7 @@
 
 // The reasons for which Acquire returns no lease.
 var (
+	ErrInUse    = errors.New("another attempt is writing the request body, which only one can do at a time")
 	ErrConsumed = errors.New("request body was read past the part that is in memory and can't be sent again")
 	ErrReleased = errors.New("request body was released by its owner")
 )
@@ -109,6 +112,8 @@
 		return nil, ErrReleased
 	case b.consumed:
 		return nil, ErrConsumed
+	case b.rest != nil && b.leases > 0:
+		return nil, ErrInUse
 	}
 	b.leases++
 	return &Lease{body: b, usesParts: true}, nil
--- a/internal/sharedbody/sharedbody_test.go
+++ b/internal/sharedbody/sharedbody_test.go
@@ -100,3 +100,15 @@
 		t.Error("a nil body is not empty")
 	}
 }
+
+// Two attempts that read the rest of a body would each get a part of it, so the second one gets no
+// lease until the first has ended.
+func TestBodyWithARestHasOneLeaseAtATime(t *testing.T) {
+	b, _ := newCountedBody(testRest{bytes.NewReader(nil)})
+	first := acquire(t, b)
+	if _, err := b.Acquire(); !errors.Is(err, ErrInUse) {
+		t.Errorf("Acquire while another lease is in force: error %v, want %v", err, ErrInUse)
+	}
+	first.End()
+	acquire(t, b)
+}
