Wait for the attempt in flight when a hedged upload cannot be sent

Callers saw: an upload that an endpoint was running was refused with 503 (body_gone) as soon as its hedged request was due, with no disruption at all: 5 of 8 uploads in case 2 with TROUBLE=0. Cause: reportOutcome finished a call whose body had been read with the first attempt that ended, though another one was in flight. The hedged attempt, which cannot send the body any more, ends at once. Evidence: rowancart_unserved_total{reason="body_gone"} is 5 with TROUBLE=0, where no attempts compete for a body. Change: such a call is finished once no attempt is in flight, as failed if any of its attempts may have run. Why it works: the Balancer already leaves a request alone while an attempt of it is in flight; only the pool did not.

--- a/internal/daemon/upload_test.go
+++ b/internal/daemon/upload_test.go
@@ -139,7 +139,12 @@
 			s := startDaemon(t, poolBlock("forms", e.addrs...)+routeBlock("forms", "/forms", "read", "forms", hedgingPolicy))
 			var clients sync.WaitGroup
 			for i := range concurrentUploads {
-				clients.Go(func() { s.upload(fmt.Sprintf("upload-%d", i), length) })
+				clients.Go(func() {
+					id := fmt.Sprintf("upload-%d", i)
+					if got := s.upload(id, length); got.status != http.StatusOK {
+						t.Errorf("%s: status %d, %s; want 200", id, got.status, got.header.Get("Proxy-Status"))
+					}
+				})
 			}
 			clients.Wait()
 			e.mu.Lock()
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -144,8 +144,9 @@
 	if r == balancer.OK {
 		p.finishCall(c, Result{Kind: Served, Response: response})
 	}
-	if !c.finished && c.message.Body.Consumed() { // no other attempt is possible, regardless of the Balancer's decision
-		p.finishNotReplayable(c, r)
+	c.mayHaveRun = c.mayHaveRun || !provesNotRun(r)
+	if !c.finished && c.message.Body.Consumed() && c.attemptsInFlight == 0 {
+		p.finishNotReplayable(c) // no other attempt is possible, regardless of the Balancer's decision
 	}
 	p.events.Outcome(now, balancer.Outcome{
 		ID: c.ID, Attempt: a.number, Endpoint: a.endpoint, Result: r, Latency: now - a.sentAt, Final: c.finished,
@@ -153,12 +154,12 @@
 	p.removeIfDone(c)
 }
 
-// finishNotReplayable finishes a call whose attempt failed with result r and whose body cannot be
-// sent again. p.mu must be held.
-func (p *Pool) finishNotReplayable(c *Call, r balancer.Result) {
-	kind := Failed
-	if provesNotRun(r) {
-		kind = Rejected
+// finishNotReplayable finishes a call whose attempts have failed and whose body cannot be sent
+// again. p.mu must be held.
+func (p *Pool) finishNotReplayable(c *Call) {
+	kind := Rejected
+	if c.mayHaveRun {
+		kind = Failed
 	}
 	p.finishUnserved(c.ID, Result{Kind: kind, Reason: BodyNotReplayable})
 }
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -49,6 +49,7 @@
 
 	// The following fields are guarded by Pool.mu.
 	finished         bool // the call has its result
+	mayHaveRun       bool // an attempt has ended that does not prove that the request has not run
 	canRunInline     bool // Do is waiting and attempts can be canceled, so Do may run one without delaying a result
 	attempts         []*attempt
 	attemptsInFlight int
