Balancer: no hedged request for a body that only one attempt can send

Callers saw: each hedged request of a long upload took a token of the retry budget, a connection and an attempt of the request's limit, and could never be sent while the first attempt was in flight. Cause: the Balancer was not told that a body is received from the client while it is forwarded. Change: Request.SoleAttempt, set by the HTTP server for a body with a rest; hedgeDelay returns none for it. Test: TestSoleAttemptIsNotHedged failed before ("SoleAttempt true: 2 attempts, want 1").

--- a/balancer/api.go
+++ b/balancer/api.go
@@ -164,6 +164,7 @@
 	Deadline    time.Duration // instant at which the client stops waiting
 	ClientRetry bool          // the client has marked the request as a retry of its own
 	Streamed    bool          // the body may take long to send; the host reports its end with RequestWritten
+	SoleAttempt bool          // only one attempt at a time can send the body, so that hedging is of no use
 }
 
 // Result states how an attempt ended.
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -155,7 +155,7 @@
 	if !req.Streamed {
 		b.limiter.start(&req.attempts[len(req.attempts)-1])
 	}
-	if delay := req.class.hedgeDelay(); delay > 0 && len(req.attempts) == 1 {
+	if delay := req.hedgeDelay(); delay > 0 && len(req.attempts) == 1 {
 		req.hedgeAt = now + delay
 		b.scheduleWakeUp(req.hedgeAt)
 	}
--- a/balancer/hedge.go
+++ b/balancer/hedge.go
@@ -8,9 +8,10 @@
 
 // hedgeDelay returns how long the first attempt may be in flight before a hedged request is due, 0
 // if none will be.
-func (c *class) hedgeDelay() time.Duration {
+func (r *request) hedgeDelay() time.Duration {
+	c := r.class
 	switch {
-	case c.Idempotency != Idempotent:
+	case c.Idempotency != Idempotent || r.SoleAttempt:
 		return 0
 	case c.HedgeQuantile > 0 && c.latency.samples >= minHedgeSamples && c.quantile.latency > 0:
 		return seconds(max(c.quantile.latency, c.latency.baseline))
--- a/balancer/hedge_test.go
+++ b/balancer/hedge_test.go
@@ -97,3 +97,27 @@
 		t.Errorf("%d sends of 10 requests with a budget for one hedged request, want 11", n)
 	}
 }
+
+// A request whose body only one attempt at a time can send must not be hedged: the hedged request
+// could not be sent while the first attempt is in flight.
+func TestSoleAttemptIsNotHedged(t *testing.T) {
+	for _, sole := range []bool{false, true} {
+		h := newHarnessWithClass(t, func(c *balancer.Class) { c.HedgeAfter = 30 * ms })
+		h.b.Request(h.now, balancer.Request{ID: "upload", Class: "read", Deadline: h.now + time.Minute, SoleAttempt: sole})
+		h.advance(100 * ms)
+		want := 2
+		if sole {
+			want = 1
+		}
+		if n := len(h.sentTo["upload"]); n != want {
+			t.Errorf("SoleAttempt %v: %d attempts, want %d", sole, n, want)
+		}
+		// A retry is allowed once the attempt in flight has ended.
+		if sole {
+			h.finish("upload", balancer.ConnectFailed)
+			if n := len(h.sentTo["upload"]); n != 2 {
+				t.Errorf("%d attempts after the first one failed, want 2", n)
+			}
+		}
+	}
+}
--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -221,6 +221,7 @@
 	f.message.Body = body
 	pool := f.target.Pool
 	f.call.Streamed = true
+	f.call.SoleAttempt = body.HasRest()
 	f.call.Deadline = pool.Now() - time.Since(c.reader.earliestSentAt) + f.message.ClientTimeout
 	if body.HasRest() {
 		f.call.Deadline = pool.Now() + f.message.ClientTimeout + streamed.timeLimit()
