Pass the pool's result on where a read of the body had to be interrupted

Callers saw: 400 "the body can't be read" in place of the pool's 503, where the pool gave an upload up (its deadline, or that of a shutdown) while an attempt waited for more of the client's body. A 400 tells the client not to send it again. Cause: abandon interrupts the read by a deadline in the past and then took the read's time-out for an error of the client. Change: a read that fails by a deadline after abandon was called ends with errBodyAbandoned, which is not stored. Why it works: only errors of the client are stored, and only stored errors replace the pool's result.

--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -232,7 +232,7 @@
 	if err == nil && !ended && c.isDisconnected() { // the rest will never arrive
 		err = io.ErrUnexpectedEOF
 	}
-	if err != nil && !errors.Is(err, errBodyAbandoned) {
+	if err != nil {
 		f.outcome.Result.Kind = proxy.Failed
 		return c.reject(f.request, bodyRejection(err))
 	}
--- a/internal/httpserver/requestbody.go
+++ b/internal/httpserver/requestbody.go
@@ -4,7 +4,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rowancart/internal/http1"
@@ -66,11 +68,12 @@
 // it arrives. A goroutine other than the connection's may read it, until the connection's
 // goroutine calls abandon.
 type requestBody struct {
-	mu        sync.Mutex // held during a read; guards the fields below
-	source    bodySource
-	decoder   *http1.Body
-	abandoned bool
-	err       error // of a failed read; later reads return it too
+	abandoned atomic.Bool // set by abandon; reads that see it fail
+
+	mu      sync.Mutex // held during a read; guards the fields below
+	source  bodySource
+	decoder *http1.Body
+	err     error // of a failed read; later reads return it too
 }
 
 // newRequestBody returns a body of length bytes, or a chunked body if length is http1.Chunked.
@@ -89,13 +92,16 @@
 func (b *requestBody) Read(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.abandoned {
+	if b.abandoned.Load() {
 		return 0, errBodyAbandoned
 	}
 	if b.err != nil {
 		return 0, b.err
 	}
 	n, err := b.decoder.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && b.abandoned.Load() {
+		return n, errBodyAbandoned // the client is not to blame for the deadline
+	}
 	b.source.pace.received += int64(n)
 	if b.source.pace.received > proxy.MaxStreamedBody {
 		err = errBodyTooLong
@@ -122,12 +128,12 @@
 // abandon makes all reads fail, including one in progress. It reports whether the body was read to
 // its end, and returns the error of reading it.
 func (b *requestBody) abandon() (ended bool, err error) {
+	b.abandoned.Store(true)
 	if !b.mu.TryLock() { // a read is in progress
 		_ = b.source.reader.Conn.SetReadDeadline(time.Unix(1, 0)) // any later read sets its own deadline
 		b.mu.Lock()
 	}
-	b.abandoned = true
-	b.mu.Unlock()
+	defer b.mu.Unlock()
 	return b.ended(), b.err
 }
 
--- a/internal/httpserver/response_test.go
+++ b/internal/httpserver/response_test.go
@@ -25,9 +25,14 @@
 		AnyMethod: true, DefaultID: "x"}, nil
 }
 
-// newPool returns a pool with one endpoint.
+// newPool returns a pool with one endpoint, whose attempts can be canceled.
 func newPool(endpointAddr string) *proxy.Pool {
-	settings := balancer.Settings{CancelAllowed: true, Classes: []balancer.Class{{Name: "all"}}}
+	return newPoolWith(balancer.Settings{CancelAllowed: true}, endpointAddr)
+}
+
+// newPoolWith returns a pool with one endpoint and the given settings, but for their classes.
+func newPoolWith(settings balancer.Settings, endpointAddr string) *proxy.Pool {
+	settings.Classes = []balancer.Class{{Name: "all"}}
 	list := proxy.EndpointList{Complete: true, Endpoints: []proxy.Endpoint{{ID: "a", Addr: endpointAddr}}}
 	return proxy.New(settings, list, proxy.Options{MaxConns: 9, PassThrough: true, Log: slog.New(slog.DiscardHandler),
 		Subscribe: func() {}})
