Interrupt also a read of the body that is just beginning

Callers saw: a response up to 2.8 s late, where the pool gave an upload up just as an attempt began to read more of it. Cause: abandon sets a deadline in the past while a read is in progress; a read that had not yet set its own deadline replaced it, and waited for the client until that one. Evidence: read in the code; a connection that delays the read's deadline until the second one is set shows it each time. Change: a read checks whether the body was abandoned after it has set its deadline. Why it works: abandon sets the flag before its deadline, so that either the read sees the flag or the deadline comes last.

--- a/internal/httpserver/requestbody.go
+++ b/internal/httpserver/requestbody.go
@@ -26,8 +26,27 @@
 // bodySource reads a body, including its framing, from a connection, and sets the connection's
 // read deadlines. It implements http1.Source.
 type bodySource struct {
-	reader *connReader
-	pace   bodyPace
+	reader    *connReader
+	pace      bodyPace
+	abandoned atomic.Bool // no further read may begin, and one in progress is interrupted
+}
+
+// setReadDeadline sets the deadline of the next read. It returns errBodyAbandoned if the body was
+// abandoned: this deadline may have replaced the one that was to interrupt the read.
+func (s *bodySource) setReadDeadline() error {
+	if err := s.reader.Conn.SetReadDeadline(s.pace.nextDeadline()); err != nil {
+		return err
+	}
+	if s.abandoned.Load() {
+		return errBodyAbandoned
+	}
+	return nil
+}
+
+// isInterruption reports whether a read has failed because the body was abandoned. The client is
+// not to blame for that.
+func (s *bodySource) isInterruption(err error) bool {
+	return s.abandoned.Load() && (errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errBodyAbandoned))
 }
 
 // Buffered implements http1.Source.
@@ -38,7 +57,7 @@
 
 // Fill implements http1.Source.
 func (s *bodySource) Fill() error {
-	if err := s.reader.Conn.SetReadDeadline(s.pace.nextDeadline()); err != nil {
+	if err := s.setReadDeadline(); err != nil {
 		return err
 	}
 	err := s.reader.fill()
@@ -53,7 +72,7 @@
 		s.Discard(n)
 		return n, nil
 	}
-	if err := s.reader.Conn.SetReadDeadline(s.pace.nextDeadline()); err != nil {
+	if err := s.setReadDeadline(); err != nil {
 		return 0, err
 	}
 	n, err := s.reader.Read(p)
@@ -68,9 +87,7 @@
 // it arrives. A goroutine other than the connection's may read it, until the connection's
 // goroutine calls abandon.
 type requestBody struct {
-	abandoned atomic.Bool // set by abandon; reads that see it fail
-
-	mu      sync.Mutex // held during a read; guards the fields below
+	mu      sync.Mutex // held during a read; guards the fields below, but for source.abandoned
 	source  bodySource
 	decoder *http1.Body
 	err     error // of a failed read; later reads return it too
@@ -92,15 +109,15 @@
 func (b *requestBody) Read(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.abandoned.Load() {
+	if b.source.abandoned.Load() {
 		return 0, errBodyAbandoned
 	}
 	if b.err != nil {
 		return 0, b.err
 	}
 	n, err := b.decoder.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) && b.abandoned.Load() {
-		return n, errBodyAbandoned // the client is not to blame for the deadline
+	if b.source.isInterruption(err) {
+		return n, errBodyAbandoned
 	}
 	b.source.pace.received += int64(n)
 	if b.source.pace.received > proxy.MaxStreamedBody {
@@ -128,7 +145,7 @@
 // abandon makes all reads fail, including one in progress. It reports whether the body was read to
 // its end, and returns the error of reading it.
 func (b *requestBody) abandon() (ended bool, err error) {
-	b.abandoned.Store(true)
+	b.source.abandoned.Store(true)
 	if !b.mu.TryLock() { // a read is in progress
 		_ = b.source.reader.Conn.SetReadDeadline(time.Unix(1, 0)) // any later read sets its own deadline
 		b.mu.Lock()
--- a/internal/httpserver/requestbody_test.go
+++ b/internal/httpserver/requestbody_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -70,3 +71,41 @@
 	pool.SetFinalDeadline(pool.Now() + 100*time.Millisecond)
 	requireStatus(t, client, http.StatusServiceUnavailable)
 }
+
+// lateDeadlineConn is a connection whose first read deadline is set only after the second one, as
+// when the goroutine that sets it is not scheduled in between.
+type lateDeadlineConn struct {
+	net.Conn
+	calls     atomic.Int32
+	firstSet  chan bool // closed when the first deadline is about to be set
+	secondSet chan bool // closed once the second deadline has been set
+}
+
+func (c *lateDeadlineConn) SetReadDeadline(at time.Time) error {
+	switch c.calls.Add(1) {
+	case 1:
+		close(c.firstSet)
+		<-c.secondSet
+	case 2:
+		defer close(c.secondSet)
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
+// A read sets its own deadline just after it was to be interrupted by a deadline in the past. It
+// must end all the same: the client's response waited until the deadline of the read.
+func TestReadThatIsJustBeginningIsInterrupted(t *testing.T) {
+	client, server := net.Pipe()
+	t.Cleanup(func() { client.Close(); server.Close() })
+	nc := &lateDeadlineConn{Conn: server, firstSet: make(chan bool), secondSet: make(chan bool)}
+	b := newTestBodyOn(nc)
+	go b.Read(make([]byte, 1))
+	<-nc.firstSet
+	began := time.Now()
+	if _, err := b.abandon(); err != nil {
+		t.Errorf("abandon returns the error %v, want none", err)
+	}
+	if took := time.Since(began); took >= incompleteRequestTimeout/2 {
+		t.Errorf("the read ended after %v, want at once", took)
+	}
+}
