A canceled attempt no longer waits for the client's body

Callers saw: the rejection of an upload that the pool had given up came up to 2.8 s late, and as a 400, where attempts may be canceled (the daemon) and the client paused in its body. Cause: canceling an attempt closes its connection to the endpoint, but the attempt was waiting for the client. It runs in the goroutine that passes the result on, so the result waited for it. Evidence: TestRejectionDuringABodyReachesTheClient with cancelable attempts took 2.80 s, the client's own time limit. Change: while an attempt reads the rest of a body, a cancellation also interrupts that read (sharedbody.Rest.Interrupt). Why it works: a body whose rest is being read belongs to that attempt alone, so that nobody else reads it afterwards; after abandon an interruption does nothing, since the read deadline is the connection's again. Tests, failed before: TestRejectionDuringABodyReachesTheClient/cancel_allowed_true ("status 400, want 503", 2 of 2) and TestCancelInterruptsTheReadOfTheBody ("the attempt has not ended"). Measured: go test -race passes for connpool, sharedbody, proxy, httpserver (three times each), sidecar and daemon.

--- a/internal/connpool/exchange.go
+++ b/internal/connpool/exchange.go
@@ -188,7 +188,7 @@
 // run, unless a complete early response with status 200 was read.
 func (p *Pool) resolvePartialWrite(c *conn, a *Attempt, req *Request, writeErr error) (Response, error) {
 	if errors.Is(writeErr, errUploadFailed) || errors.Is(writeErr, errBodyUnavailable) {
-		return Response{}, &Error{Kind: NotSent, Err: writeErr} // not a failure of the endpoint
+		return Response{}, a.failure(NotSent, writeErr) // not a failure of the endpoint
 	}
 	if !req.Body.IsLong() || a.isCanceled() {
 		return Response{}, a.failure(ConnectFailed, writeErr)
--- a/internal/connpool/longbody.go
+++ b/internal/connpool/longbody.go
@@ -28,7 +28,7 @@
 	if err := c.writeAll(c.writeBuffer); err != nil {
 		return err
 	}
-	if err := c.writeLongBody(req, body); err != nil {
+	if err := c.writeLongBody(a, req, body); err != nil {
 		return err
 	}
 	if body.HasRest() {
@@ -41,10 +41,10 @@
 }
 
 // writeLongBody writes a long body.
-func (c *conn) writeLongBody(req *Request, body *sharedbody.Lease) error {
+func (c *conn) writeLongBody(a *Attempt, req *Request, body *sharedbody.Lease) error {
 	buffer := http1.Buffers.Get().(*[]byte)
 	defer http1.Buffers.Put(buffer)
-	w := bodyWriter{conn: c, request: req, body: body, buffer: *buffer}
+	w := bodyWriter{conn: c, attempt: a, request: req, body: body, buffer: *buffer}
 	for _, part := range body.Parts() {
 		if err := w.writePart(part); err != nil {
 			return err
@@ -56,9 +56,23 @@
 	return w.writeRest()
 }
 
+// restInProgress is closed when an attempt is canceled while it writes the rest of a body. The
+// attempt may be waiting for its endpoint or for the client.
+type restInProgress struct {
+	conn *conn
+	body *sharedbody.Lease
+}
+
+// Close implements io.Closer.
+func (r restInProgress) Close() error {
+	r.body.Interrupt()
+	return r.conn.Close()
+}
+
 // bodyWriter writes the pieces of a long body to a connection.
 type bodyWriter struct {
 	conn    *conn
+	attempt *Attempt
 	request *Request
 	body    *sharedbody.Lease
 	buffer  []byte // one of http1.Buffers: holds a piece of the body, with space for its chunk framing
@@ -97,6 +111,9 @@
 	if w.conn.hasPendingInput() {
 		return errEarlyResponse
 	}
+	if !w.attempt.setInProgress(restInProgress{w.conn, w.body}) {
+		return errAttemptCanceled
+	}
 	rest := w.body.StartRest()
 	for {
 		n, err := rest.Read(w.piece())
--- a/internal/connpool/upload_test.go
+++ b/internal/connpool/upload_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -145,6 +146,22 @@
 }
 
 func (r *testRest) SentAt() time.Time { return time.Now() }
+func (r *testRest) Interrupt()        {}
+
+// silentRest is the rest of a body whose client sends nothing more.
+type silentRest struct {
+	reading     chan bool // closed by the first Read
+	interrupted chan bool // closed by Interrupt
+}
+
+func (r silentRest) Read([]byte) (int, error) {
+	close(r.reading)
+	<-r.interrupted
+	return 0, errors.New("the read was interrupted")
+}
+
+func (r silentRest) SentAt() time.Time { return time.Now() }
+func (r silentRest) Interrupt()        { close(r.interrupted) }
 
 // sendAsync sends the upload to an endpoint in a new goroutine, which sends the attempt's outcome
 // to the channel.
@@ -239,3 +256,26 @@
 		t.Errorf("%d endpoints received a complete request, want 1", completed)
 	}
 }
+
+// An attempt that waits for more of the client's body is canceled. It must end at once, like one
+// that waits for its endpoint: the goroutine that ran it could not pass the request's result on.
+func TestCancelInterruptsTheReadOfTheBody(t *testing.T) {
+	b := startUploadEndpoint(t)
+	close(b.resume)
+	p := newUploadPool(t, b)
+	rest := silentRest{reading: make(chan bool), interrupted: make(chan bool)}
+	u := newUpload()
+	u.request.Body = sharedbody.NewLong(sharedbody.Long{Length: -1, Rest: rest})
+	a := attemptWithin(waitTimeout)
+	ended := u.sendAsync(t, p, a, "a")
+	<-rest.reading
+	a.Cancel()
+	select {
+	case kind := <-ended:
+		if kind != Canceled {
+			t.Errorf("outcome %v, want canceled", kind)
+		}
+	case <-time.After(waitTimeout):
+		t.Error("the attempt has not ended")
+	}
+}
--- a/internal/connpool/write.go
+++ b/internal/connpool/write.go
@@ -11,7 +11,7 @@
 const maxCoalescedBody = 4 << 10
 
 // writeRequest writes a request completely, or returns an error that wraps errWriteFailed,
-// errEarlyResponse, errUploadFailed or errBodyUnavailable.
+// errEarlyResponse, errUploadFailed, errBodyUnavailable or errAttemptCanceled.
 func (c *conn) writeRequest(a *Attempt, req *Request) error {
 	if req.Body == nil {
 		return c.writeShortRequest(a, req, nil)
--- a/internal/httpserver/requestbody.go
+++ b/internal/httpserver/requestbody.go
@@ -87,6 +87,8 @@
 // it arrives. A goroutine other than the connection's may read it, until the connection's
 // goroutine calls abandon.
 type requestBody struct {
+	interruptMu sync.Mutex // held while source.abandoned is set and a read is interrupted
+
 	mu      sync.Mutex // held during a read; guards the fields below, but for source.abandoned
 	source  bodySource
 	decoder *http1.Body
@@ -142,14 +144,26 @@
 	return n, nil
 }
 
+// Interrupt implements sharedbody.Rest. It does nothing once the body is abandoned: the read
+// deadline belongs to the connection's goroutine again.
+func (b *requestBody) Interrupt() {
+	b.interruptMu.Lock()
+	defer b.interruptMu.Unlock()
+	if b.source.abandoned.Swap(true) {
+		return
+	}
+	if b.mu.TryLock() { // no read is in progress
+		b.mu.Unlock()
+		return
+	}
+	_ = b.source.reader.Conn.SetReadDeadline(time.Unix(1, 0)) // any later read sets its own deadline
+}
+
 // abandon makes all reads fail, including one in progress. It reports whether the body was read to
 // its end, and returns the error of reading it.
 func (b *requestBody) abandon() (ended bool, err error) {
-	b.source.abandoned.Store(true)
-	if !b.mu.TryLock() { // a read is in progress
-		_ = b.source.reader.Conn.SetReadDeadline(time.Unix(1, 0)) // any later read sets its own deadline
-		b.mu.Lock()
-	}
+	b.Interrupt()
+	b.mu.Lock() // waits for the end of a read in progress
 	defer b.mu.Unlock()
 	return b.ended(), b.err
 }
--- a/internal/httpserver/requestbody_test.go
+++ b/internal/httpserver/requestbody_test.go
@@ -55,21 +55,25 @@
 	}
 }
 
-// The deadline of a shutdown passes while a client is still sending its body, and its attempt must
-// not be canceled. The client must get the pool's rejection, after which it may send the request
-// again: it got a 400.
+// The deadline of a shutdown passes while a client is still sending its body. The client must get
+// the pool's rejection at once, after which it may send the request again: it got a 400, and where
+// attempts are canceled, 2.8 s late.
 func TestRejectionDuringABodyReachesTheClient(t *testing.T) {
-	endpoint := startEndpoint(t, testpeer.RespondWith(okResponse, testpeer.KeepConn))
-	pool := newPoolWith(balancer.Settings{}, endpoint.Addr)
-	inner := listen(t)
-	startServer(t, NewListener(inner, 9), poolRouter{pool})
-	const length = 16 << 20 // more than is buffered, so that the body is forwarded while it arrives
-	client := connect(t, inner, fmt.Sprintf("POST /upload HTTP/1.1\r\nHost: h\r\n%s: r1\r\n%s: 20000\r\n"+
-		"Content-Length: %d\r\n\r\n%s", platform.RequestIDHeader, platform.DeadlineHeader, length,
-		strings.Repeat("x", length/8)))
-	waitUntil(t, "the upload is in flight", func() bool { return pool.Stats().Calls == 1 })
-	pool.SetFinalDeadline(pool.Now() + 100*time.Millisecond)
-	requireStatus(t, client, http.StatusServiceUnavailable)
+	for _, cancelAllowed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("cancel allowed %v", cancelAllowed), func(t *testing.T) {
+			endpoint := startEndpoint(t, testpeer.RespondWith(okResponse, testpeer.KeepConn))
+			pool := newPoolWith(balancer.Settings{CancelAllowed: cancelAllowed}, endpoint.Addr)
+			inner := listen(t)
+			startServer(t, NewListener(inner, 9), poolRouter{pool})
+			const length = 16 << 20 // more than is buffered, so that the body is forwarded while it arrives
+			client := connect(t, inner, fmt.Sprintf("POST /upload HTTP/1.1\r\nHost: h\r\n%s: r1\r\n%s: 20000\r\n"+
+				"Content-Length: %d\r\n\r\n%s", platform.RequestIDHeader, platform.DeadlineHeader, length,
+				strings.Repeat("x", length/8)))
+			waitUntil(t, "the upload is in flight", func() bool { return pool.Stats().Calls == 1 })
+			pool.SetFinalDeadline(pool.Now() + 100*time.Millisecond)
+			requireStatus(t, client, http.StatusServiceUnavailable)
+		})
+	}
 }
 
 // lateDeadlineConn is a connection whose first read deadline is set only after the second one, as
--- a/internal/proxy/upload_test.go
+++ b/internal/proxy/upload_test.go
@@ -15,6 +15,7 @@
 type testRest struct{ io.Reader }
 
 func (testRest) SentAt() time.Time { return time.Now() }
+func (testRest) Interrupt()        {}
 
 // newUploadCall returns a call whose body is received from the client while it is forwarded.
 func (p testPool) newUploadCall(id, class string) *Call {
--- a/internal/sharedbody/sharedbody.go
+++ b/internal/sharedbody/sharedbody.go
@@ -30,6 +30,10 @@
 	// that time, whether the byte has been read or not. It is called by the goroutine that calls
 	// Read.
 	SentAt() time.Time
+
+	// Interrupt makes all reads fail, including one in progress. It does not block and may be called
+	// from any goroutine.
+	Interrupt()
 }
 
 // Body is the body of a request. It belongs to its owner, which releases it once no further attempt
@@ -166,6 +170,9 @@
 	return l.body.rest
 }
 
+// Interrupt makes reads of the rest fail, see Rest. It may be called from any goroutine.
+func (l *Lease) Interrupt() { l.body.rest.Interrupt() }
+
 // End ends the lease. It may be called more than once.
 func (l *Lease) End() {
 	l.body.mu.Lock()
--- a/internal/sharedbody/sharedbody_test.go
+++ b/internal/sharedbody/sharedbody_test.go
@@ -12,6 +12,7 @@
 type testRest struct{ io.Reader }
 
 func (testRest) SentAt() time.Time { return time.Time{} }
+func (testRest) Interrupt()        {}
 
 // newCountedBody returns a body and the number of times that its memory was given back.
 func newCountedBody(rest Rest) (b *Body, freed *int) {
