An abandoned body no longer uses the connection's reader

Callers saw: nothing known. A torn time could have become the deadline of an attempt that was ending. Cause: an attempt asks when the client can have sent the last byte (SentAt) without the body's lock, also after the pool's result has given the reader back to the connection, which may be reading the next request. Change: SentAt takes the body's lock and leaves the reader alone once the body is abandoned. Why it works: abandon takes the same lock before the connection goes on. Only the holder of the body's lease calls Read and SentAt, so SentAt never waits for a read. Test: TestAbandonedBodyLeavesTheReaderToTheConnection failed before in 5 of 5 runs under -race.

--- a/internal/httpserver/requestbody_test.go
+++ b/internal/httpserver/requestbody_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -113,3 +114,27 @@
 		t.Errorf("the read ended after %v, want at once", took)
 	}
 }
+
+// An attempt that is ending still asks when the client has sent the last byte, while the connection
+// reads the next request: both used the connection's reader, as the race detector shows.
+func TestAbandonedBodyLeavesTheReaderToTheConnection(t *testing.T) {
+	b, client := newTestBody(t)
+	go io.WriteString(client, "1\r\nx\r\n0\r\n\r\n")
+	if n, err := b.readFull(make([]byte, 9)); n != 1 || err != nil {
+		t.Fatalf("read %d bytes, error %v", n, err)
+	}
+	streamed := &streamedBody{requestBody: b, length: http1.Chunked}
+	begin, ended := make(chan bool), make(chan bool)
+	go func() {
+		<-begin
+		streamed.SentAt()
+		close(ended)
+	}()
+	close(begin)
+	b.abandon()
+	go io.WriteString(client, "GET")
+	if err := b.source.reader.fill(); err != nil {
+		t.Error(err)
+	}
+	<-ended
+}
--- a/internal/httpserver/streamedbody.go
+++ b/internal/httpserver/streamedbody.go
@@ -58,8 +58,14 @@
 // SentAt implements sharedbody.Rest. It returns the earliest time at which the client can have sent
 // the last byte of the body, or the current time if the client cannot have sent it yet. While there
 // is unread data, the rest may have been sent right after the data that was read last, because some
-// of it may still be in the client's own buffers.
+// of it may still be in the client's own buffers. Once the body is abandoned, the time is unknown:
+// the reader belongs to the connection's goroutine again.
 func (b *streamedBody) SentAt() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.source.abandoned.Load() {
+		return time.Now()
+	}
 	reader := b.source.reader
 	unread := b.socket.unreadBytes()
 	isStreaming := b.source.pace.received > b.receivedAhead
