Release a request's body where it was received, also if no attempt was made

Callers saw: after uploads whose request id was in use (409), other long bodies were no longer buffered and could not be retried: the buffers of each refused one counted as in use until the process ended. Cause: the pool released a body when its call left the set of calls; a duplicate never enters it, nor does a call end after the pool was closed. Change: the connection that received a body owns it, and releases it once Do has returned, also after a panic. Attempts that still write it hold leases, so that the memory is given back after the last of them. Why it works: there is one owner, and its release does not depend on what the pool did with the call.

--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -202,7 +202,7 @@
 		f.message.Body = sharedbody.New(body.data, body.releaseData)
 	}
 	f.outcome.Forwarded = true
-	f.outcome.Result = c.do(target.Pool, f.call)
+	f.outcome.Result = c.do(&f)
 	return c.writeResult(r, f.outcome.Result)
 }
 
@@ -227,7 +227,7 @@
 		f.call.Deadline = pool.Now() + f.message.ClientTimeout + streamed.timeLimit()
 	}
 	f.outcome.Forwarded = true
-	f.outcome.Result = c.do(pool, f.call)
+	f.outcome.Result = c.do(f)
 	ended, err := streamed.abandon()
 	if err == nil && !ended && c.isDisconnected() { // the rest will never arrive
 		err = io.ErrUnexpectedEOF
@@ -244,12 +244,13 @@
 	return c.writeResult(f.request, f.outcome.Result)
 }
 
-// do passes a call to its pool and waits for the result. It notifies the pool if the client
-// disconnects meanwhile. The response is written even then, because a client that has closed only
-// its sending side may still read it.
-func (c *conn) do(pool *proxy.Pool, call *proxy.Call) proxy.Result {
-	c.disconnect.start(func() { pool.ClientDisconnected(call) })
-	result := pool.Do(call)
+// do passes a call to its pool, waits for the result and releases the body. It notifies the pool if
+// the client disconnects meanwhile. The response is written even then, because a client that has
+// closed only its sending side may still read it.
+func (c *conn) do(f *forwarding) proxy.Result {
+	defer f.message.Body.Release()
+	c.disconnect.start(func() { f.target.Pool.ClientDisconnected(f.call) })
+	result := f.target.Pool.Do(f.call)
 	if c.disconnect.stop() {
 		c.lastRequest = true
 	}
--- a/internal/httpserver/requestbody_test.go
+++ b/internal/httpserver/requestbody_test.go
@@ -14,6 +14,7 @@
 	"rowancart/balancer"
 	"rowancart/internal/http1"
 	"rowancart/internal/platform"
+	"rowancart/internal/proxy"
 	"rowancart/internal/testpeer"
 )
 
@@ -138,3 +139,22 @@
 	}
 	<-ended
 }
+
+// A long body whose request id is in use never reaches an attempt. Its buffers must be given back:
+// they counted as in use until the process ended, and other bodies were streamed instead of
+// buffered.
+func TestDuplicateUploadGivesItsBuffersBack(t *testing.T) {
+	endpoint := startEndpoint(t, testpeer.RespondWith(okResponse, testpeer.KeepConn))
+	inner := listen(t)
+	s := startServer(t, NewListener(inner, 9), poolRouter{newPool(endpoint.Addr)})
+	const length = proxy.MaxBody + 2*bodyBufferSize
+	upload := fmt.Sprintf("POST /upload HTTP/1.1\r\nHost: h\r\n%s: r1\r\n%s: 10000\r\nContent-Length: %d\r\n\r\n%s",
+		platform.RequestIDHeader, platform.DeadlineHeader, length, strings.Repeat("x", length))
+	requireStatus(t, connect(t, inner, upload), http.StatusOK)
+	requireStatus(t, connect(t, inner, upload), http.StatusConflict)
+	s.bodyBuffers.mu.Lock()
+	defer s.bodyBuffers.mu.Unlock()
+	if n := s.bodyBuffers.inUse; n != 0 {
+		t.Errorf("%d buffers are in use after both responses, want none", n)
+	}
+}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -35,7 +35,8 @@
 // returns one.
 //
 // A call is in progress from startCall until it has its result and none of its attempts is in
-// flight. Then its body is released.
+// flight. The caller of Do releases the body once Do has returned; attempts that still write it
+// hold leases.
 type Call struct {
 	balancer.Request
 
@@ -154,5 +155,4 @@
 		return
 	}
 	p.calls.remove(c)
-	c.message.Body.Release()
 }
