httpserver: one file each for reading and holding bodies; one small-buffer listener

Change: bodysource.go and receivedbody.go are parted from requestbody.go, moved as they were. testpeer.ListenWithSmallBuffer serves the tests of connpool, daemon and sidecar; the sidecar's resetting endpoint gets the segment size of an Ethernet with it. TestUnfinishedAttemptLeavesTheBodyToTheNext covers retries after a break and after a cancellation (it found no fault).

--- a/internal/connpool/upload_test.go
+++ b/internal/connpool/upload_test.go
@@ -9,11 +9,11 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"rowancart/internal/sharedbody"
+	"rowancart/internal/testpeer"
 )
 
 const (
@@ -29,6 +29,7 @@
 	addr          string
 	headsReceived chan bool // gets a value for each head
 	resume        chan bool
+	abort         chan bool           // closed to close the connections without reading a body
 	uploads       chan receivedUpload // gets the result of each upload
 }
 
@@ -42,20 +43,12 @@
 // blocks before all of it is written.
 func startUploadEndpoint(t *testing.T) *uploadEndpoint {
 	t.Helper()
-	smallBuffer := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) {
-			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 64<<10)
-		})
-	}}
-	l, err := smallBuffer.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
+	l := testpeer.ListenWithSmallBuffer(t)
 	e := &uploadEndpoint{
 		addr:          l.Addr().String(),
 		headsReceived: make(chan bool, 10),
 		resume:        make(chan bool),
+		abort:         make(chan bool),
 		uploads:       make(chan receivedUpload, 10),
 	}
 	go func() {
@@ -77,7 +70,11 @@
 		return
 	}
 	e.headsReceived <- true
-	<-e.resume
+	select {
+	case <-e.resume:
+	case <-e.abort:
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	e.uploads <- receivedUpload{body, err}
 	if err == nil {
@@ -196,23 +193,31 @@
 	}
 }
 
-// Two attempts of one request are in flight, and the second one reads the body past the part that
-// is in memory. The memory must not be given back while the first attempt writes from it: its
-// endpoint received parts of other clients' bodies.
-func TestBodyMemoryIsNotReusedWhileAnAttemptWritesIt(t *testing.T) {
-	a, b := startUploadEndpoint(t), startUploadEndpoint(t)
+// makeTwoAttempts sends an upload to endpoint a, which pauses until a second attempt at endpoint b
+// has ended, and waits until the first attempt has ended too.
+func (u testUpload) makeTwoAttempts(t *testing.T) (a, b *uploadEndpoint) {
+	t.Helper()
+	a, b = startUploadEndpoint(t), startUploadEndpoint(t)
 	close(b.resume)
 	p := newUploadPool(t, a, b)
-	u := newUpload()
 	ended := u.sendAsync(t, p, attemptWithin(waitTimeout), "a")
 	<-a.headsReceived // the attempt is blocked in the part of the body that is in memory
 	roundTrip(t, p, attemptWithin(waitTimeout), "b", u.request)
 	close(a.resume)
+	<-ended
+	return a, b
+}
+
+// Two attempts of one request are in flight, and the second one reads the body past the part that
+// is in memory. The memory must not be given back while the first attempt writes from it: its
+// endpoint received parts of other clients' bodies.
+func TestBodyMemoryIsNotReusedWhileAnAttemptWritesIt(t *testing.T) {
+	u := newUpload()
+	a, _ := u.makeTwoAttempts(t)
 	if got := <-a.uploads; !bytes.HasPrefix(u.sent, got.body) {
 		t.Errorf("the endpoint received %d bytes, of which those from %d on are not the client's",
 			len(got.body), commonPrefixLength(got.body, u.sent))
 	}
-	<-ended
 }
 
 // commonPrefixLength returns the number of leading bytes that are the same in b and c.
@@ -229,15 +234,8 @@
 // received from the client: the other one found the body at its end, ended the request after the
 // part in memory, and its endpoint ran a request that no client had sent.
 func TestOneAttemptReadsTheBodyFromTheClient(t *testing.T) {
-	a, b := startUploadEndpoint(t), startUploadEndpoint(t)
-	close(b.resume)
-	p := newUploadPool(t, a, b)
 	u := newUpload()
-	ended := u.sendAsync(t, p, attemptWithin(waitTimeout), "a")
-	<-a.headsReceived // the attempt is blocked in the part of the body that is in memory
-	roundTrip(t, p, attemptWithin(waitTimeout), "b", u.request)
-	close(a.resume)
-	<-ended
+	a, b := u.makeTwoAttempts(t)
 	completed := 0
 	for name, e := range map[string]*uploadEndpoint{"a": a, "b": b} {
 		select {
@@ -279,3 +277,32 @@
 		t.Error("the attempt has not ended")
 	}
 }
+
+// An attempt that ended before it read the rest of the body, because its endpoint closed the
+// connection or because it was canceled, leaves the complete body to the next attempt.
+func TestUnfinishedAttemptLeavesTheBodyToTheNext(t *testing.T) {
+	for want, end := range map[FailureKind]func(a *Attempt, e *uploadEndpoint){
+		Canceled:      func(a *Attempt, _ *uploadEndpoint) { a.Cancel() },
+		ConnectFailed: func(_ *Attempt, e *uploadEndpoint) { close(e.abort) },
+	} {
+		t.Run(want.String(), func(t *testing.T) {
+			a, b := startUploadEndpoint(t), startUploadEndpoint(t)
+			close(b.resume)
+			p := newUploadPool(t, a, b)
+			u := newUpload()
+			first := attemptWithin(waitTimeout)
+			ended := u.sendAsync(t, p, first, "a")
+			<-a.headsReceived // the attempt is blocked in the part of the body that is in memory
+			end(first, a)
+			if kind := <-ended; kind != want {
+				t.Errorf("the first attempt: outcome %v, want %v", kind, want)
+			}
+			if kind, _ := roundTrip(t, p, attemptWithin(waitTimeout), "b", u.request); kind != succeeded {
+				t.Fatalf("the next attempt: outcome %v, want success", kind)
+			}
+			if got := <-b.uploads; !bytes.Equal(got.body, u.sent) {
+				t.Errorf("the next endpoint received %d bytes, want the %d that the client sent", len(got.body), len(u.sent))
+			}
+		})
+	}
+}
--- a/internal/daemon/upload_test.go
+++ b/internal/daemon/upload_test.go
@@ -9,11 +9,11 @@
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"rowancart/internal/platform"
+	"rowancart/internal/testpeer"
 )
 
 const (
@@ -44,18 +44,8 @@
 func startPausingEndpoints(t *testing.T, n, length int) *pausingEndpoints {
 	t.Helper()
 	e := &pausingEndpoints{length: length, hedged: map[string]chan bool{}}
-	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) {
-			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, 1460)
-			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 64<<10)
-		})
-	}}
 	for range n {
-		l, err := small.Listen(t.Context(), "tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { l.Close() })
+		l := testpeer.ListenWithSmallBuffer(t)
 		e.addrs = append(e.addrs, l.Addr().String())
 		go func() {
 			for {
--- /dev/null
+++ b/internal/httpserver/bodysource.go
@@ -0,0 +1,68 @@
+package httpserver
+
+import (
+	"errors"
+	"os"
+	"sync/atomic"
+	"time"
+)
+
+// bodySource reads a body, including its framing, from a connection, and sets the connection's
+// read deadlines. It implements http1.Source.
+type bodySource struct {
+	reader    *connReader
+	pace      bodyPace
+	abandoned atomic.Bool // no further read may begin, and one in progress is interrupted
+}
+
+// setReadDeadline sets the deadline of the next read. It returns errBodyAbandoned if the body was
+// abandoned: this deadline may have replaced the one that was to interrupt the read.
+func (s *bodySource) setReadDeadline() error {
+	if err := s.reader.Conn.SetReadDeadline(s.pace.nextDeadline()); err != nil {
+		return err
+	}
+	if s.abandoned.Load() {
+		return errBodyAbandoned
+	}
+	return nil
+}
+
+// isInterruption reports whether a read has failed because the body was abandoned. The client is
+// not to blame for that.
+func (s *bodySource) isInterruption(err error) bool {
+	return s.abandoned.Load() && (errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errBodyAbandoned))
+}
+
+// Buffered implements http1.Source.
+func (s *bodySource) Buffered() []byte { return s.reader.buffered() }
+
+// Discard implements http1.Source.
+func (s *bodySource) Discard(n int) { s.reader.start += n }
+
+// Fill implements http1.Source.
+func (s *bodySource) Fill() error {
+	if err := s.setReadDeadline(); err != nil {
+		return err
+	}
+	err := s.reader.fill()
+	s.pace.lastRead = time.Now()
+	return err
+}
+
+// Read implements http1.Source. If nothing is buffered, it reads from the connection directly into
+// p.
+func (s *bodySource) Read(p []byte) (int, error) {
+	if n := copy(p, s.Buffered()); n > 0 {
+		s.Discard(n)
+		return n, nil
+	}
+	if err := s.setReadDeadline(); err != nil {
+		return 0, err
+	}
+	n, err := s.reader.Read(p)
+	s.pace.lastRead = time.Now()
+	if n > 0 {
+		return n, nil
+	}
+	return n, err
+}
--- a/internal/sidecar/body_test.go
+++ b/internal/sidecar/body_test.go
@@ -12,11 +12,11 @@
 	"runtime"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"rowancart/internal/platform"
+	"rowancart/internal/testpeer"
 )
 
 // bodyPattern is repeated in test bodies. Its length differs from the size of every buffer, so that
@@ -196,16 +196,7 @@
 // then resets the connection.
 func newResettingEndpoint(t *testing.T) string {
 	t.Helper()
-	smallBuffer := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) { // the receive buffer must be too small for the unread rest of a body
-			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 64<<10)
-		})
-	}}
-	l, err := smallBuffer.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
+	l := testpeer.ListenWithSmallBuffer(t) // too small for the unread rest of a body
 	go func() {
 		for {
 			conn, err := l.Accept()
