--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -108,6 +108,41 @@
 	}
 }
 
+// Each postmortem has all of its parts, names the tests that guard against its fault, and is linked
+// from the list of incidents.
+func TestPostmortemsAreCompleteAndLinked(t *testing.T) {
+	list, err := os.ReadFile(filepath.Join("incidents", "README.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	pages := regexp.MustCompile(`\]\(([a-z0-9-]+\.md)\)`).FindAllSubmatch(list, -1)
+	files, err := os.ReadDir("incidents")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(pages) != len(files)-1 { // without the list itself
+		t.Errorf("the list links %d pages, and the folder has %d", len(pages), len(files)-1)
+	}
+	parts := []string{"**Impact.**", "**Cause.**", "**How it was found.**", "**Mend.**", "**Why no earlier test saw it.**"}
+	for _, m := range pages {
+		name := string(m[1])
+		page, err := os.ReadFile(filepath.Join("incidents", name))
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		if strings.HasSuffix(name, "-hypotheses.md") {
+			continue
+		}
+		for _, part := range parts {
+			if !strings.Contains(string(page), part) {
+				t.Errorf("%s has no part %s", name, part)
+			}
+		}
+		requireNamedTestsExist(t, page)
+	}
+}
+
 // sourceText returns the text of all Go files that are not tests.
 func sourceText(t *testing.T) string {
 	t.Helper()
