--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -87,8 +87,8 @@
 	want := []string{
 		"1ms list {Failed:false Complete:true Entries:[{ID:h:1 State:0 Zone:z Kind:big Cell:2 Started:7µs}] Unlisted:0}",
 		"1ms list {Failed:true Complete:false Entries:[] Unlisted:0}",
-		"1ms request {ID:r1 Class:c Tenant:t Deadline:2ms ClientRetry:true Streamed:false}",
-		"1ms request {ID:r2 Class:c Tenant: Deadline:2ms ClientRetry:false Streamed:false}",
+		"1ms request {ID:r1 Class:c Tenant:t Deadline:2ms ClientRetry:true Streamed:false SoleAttempt:false}",
+		"1ms request {ID:r2 Class:c Tenant: Deadline:2ms ClientRetry:false Streamed:false SoleAttempt:false}",
 		"1ms outcome {ID:r1 Attempt:0 Endpoint:h:1 Result:0 Latency:5µs Final:true}",
 		"1ms stream r2 1", "1ms disconnected r2", "1ms timer"}
 	if !reflect.DeepEqual(r.events, want) {
