Review case 10: a moved discovery leaves old requests to draining endpoints

When a reload gives a daemon's pool another address of discovery, requests in flight stay with the old pool, whose watch hears nothing any more. The case moves discovery and resets the connections under these requests 5.3 s later.

--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(*run) error{
 	"late-second-answer": lateSecondAnswer,
 	"stop-with-hung":     stopWithHung,
+	"moved-discovery":    movedDiscovery,
 	"memory":             memory,
 	"upgrade":            upgrade,
 }
