--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(*run) error{
 	"stop-with-hung": stopWithHung,
 	"memory":         memory,
+	"silent-peers":   silentPeers,
 	"upgrade":        upgrade,
 }
 
