Review case 9: endpoints run improper requests in a form that nobody sent

The case sends two such requests a second beside proper ones and compares each target that an endpoint gets with the one that was sent.

--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -19,6 +19,7 @@
 	"stop-with-hung": stopWithHung,
 	"memory":         memory,
 	"silent-peers":   silentPeers,
+	"improper-peers": improperPeers,
 	"upgrade":        upgrade,
 }
 
