--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/lab-2"
 mkdir -p ../../bin
-GOWORK=off GOPROXY=off go build -o ../../bin/review-2 .
+GOWORK=off GOPROXY=off GOTOOLCHAIN=local go build -o ../../bin/review-2 .
