--- a/review/lab-2/stop.go
+++ b/review/lab-2/stop.go
@@ -20,8 +20,13 @@
 		stopWithin = "3500ms" // SIGKILL comes 3.7 s after SIGTERM at the earliest
 	)
 	var hang atomic.Bool
+	var mu sync.Mutex
+	forwarded := map[string]bool{} // by request id
 	serve := func(e *endpoint, q arrival, nc net.Conn) bool {
 		r.logf("%s: %s %s has come", e.id, q.target, q.id)
+		mu.Lock()
+		forwarded[q.id] = true
+		mu.Unlock()
 		for hang.Load() {
 			time.Sleep(10 * time.Millisecond)
 		}
@@ -41,27 +46,23 @@
 	if err != nil {
 		return err
 	}
-	for range 20 { // ordinary traffic before the trouble
+	var kept []*client // each has carried a request before the trouble
+	for range requests {
 		c, err := dialClient(addr)
 		if err != nil {
 			return err
 		}
+		defer c.close()
 		a := c.exchange(requestText("GET", "form-lookup", newID(), deadline, ""), time.Now().Add(deadline))
-		c.close()
-		if a.status != 200 {
+		if a.status != 200 || a.last {
 			return fmt.Errorf("a request before the trouble got %d, %v", a.status, a.err)
 		}
+		kept = append(kept, c)
 	}
 	hang.Store(r.trouble)
 	var group sync.WaitGroup
-	for i := range requests {
+	for i, c := range kept {
 		group.Go(func() {
-			c, err := dialClient(addr)
-			if err != nil {
-				r.logf("client %d: %v", i, err)
-				return
-			}
-			defer c.close()
 			method, class, body := "GET", "form-lookup", ""
 			if i%2 == 0 {
 				method, class, body = "POST", "return-submit", "form"
@@ -70,10 +71,13 @@
 			sent := time.Now()
 			r.logf("client %d: sends %s %s %s", i, method, class, id)
 			a := c.exchange(requestText(method, class, id, deadline, body), sent.Add(deadline+time.Second))
-			r.logf("client %d: %s: status %d, %v, after %v", i, id, a.status, a.err, a.at.Sub(sent).Round(time.Millisecond))
-			if a.status == 0 {
-				r.breakRule("client %d: %s %s %s was read and got no answer: %v, %v after it was sent",
-					i, method, class, id, a.err, a.at.Sub(sent).Round(time.Millisecond))
+			after := a.at.Sub(sent).Round(time.Millisecond)
+			r.logf("client %d: %s: status %d, %v, after %v", i, id, a.status, a.err, after)
+			mu.Lock()
+			defer mu.Unlock()
+			if a.status == 0 && forwarded[id] {
+				r.breakRule("client %d: %s %s %s was read and forwarded, and got no answer: %v, %v after it was sent",
+					i, method, class, id, a.err, after)
 			}
 		})
 	}
