Review: each run ends what it started in more ways of ending, and none holds unseen

A panic of the driver, SIGHUP, or an interruption just before a process is started could have left a process; case 10 shared an error between its clients (found by the race detector). A run in which too little was served or forwarded now ends with 2 in each case.

--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -39,9 +39,16 @@
 // execute runs a case and returns the exit code.
 func (r *run) execute(play func(*run) error) int {
 	done := make(chan error, 1)
-	go func() { done <- play(r) }()
+	go func() {
+		defer func() {
+			if value := recover(); value != nil { // the processes must be ended all the same
+				done <- fmt.Errorf("panic: %v", value)
+			}
+		}()
+		done <- play(r)
+	}()
 	stopped := make(chan os.Signal, 1)
-	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	var err error
 	select {
 	case err = <-done:
--- a/review/lab-2/paths.go
+++ b/review/lab-2/paths.go
@@ -107,6 +107,8 @@
 		}
 	})
 	group.Wait()
+	mu.Lock()
+	defer mu.Unlock()
 	r.logf("counts: %v", counts)
 	if counts["client got 200"] < 100 {
 		return fmt.Errorf("too few requests of proper clients were served: %v", counts)
--- a/review/lab-2/run.go
+++ b/review/lab-2/run.go
@@ -26,6 +26,7 @@
 	record    *os.File
 	broken    []string
 	processes []*process
+	stopped   bool // no further process may be started
 }
 
 // logf writes a line to the record.
@@ -85,12 +86,9 @@
 	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.ExtraFiles = files
 	p.cmd.Stdout, p.cmd.Stderr = p, p
-	if err := p.cmd.Start(); err != nil {
+	if err := r.add(p); err != nil {
 		return nil, err
 	}
-	r.mu.Lock()
-	r.processes = append(r.processes, p)
-	r.mu.Unlock()
 	r.logf("%s: started, process %d: %s", name, p.cmd.Process.Pid, command)
 	go func() {
 		_ = p.cmd.Wait()
@@ -100,6 +98,20 @@
 	return p, nil
 }
 
+// add starts a process and records it, so that stopAll ends it.
+func (r *run) add(p *process) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopped {
+		return errors.New("the run has ended")
+	}
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	r.processes = append(r.processes, p)
+	return nil
+}
+
 // signal sends a signal to the process.
 func (p *process) signal(s syscall.Signal) {
 	p.run.logf("%s: %v sent", p.name, s)
@@ -116,9 +128,10 @@
 	}
 }
 
-// stopAll kills the processes that still run.
+// stopAll kills the processes that still run, waits for their end and records their logs.
 func (r *run) stopAll() {
 	r.mu.Lock()
+	r.stopped = true
 	processes := slices.Clone(r.processes)
 	r.mu.Unlock()
 	for _, p := range processes {
@@ -128,7 +141,7 @@
 		}
 		p.mu.Lock()
 		for line := range strings.Lines(p.log.String()) {
-			fmt.Fprintf(r.record, "log of %s: %s\n", p.name, strings.TrimSpace(line))
+			r.logf("log of %s: %s", p.name, strings.TrimSpace(line))
 		}
 		p.mu.Unlock()
 	}
--- a/review/lab-2/silent.go
+++ b/review/lab-2/silent.go
@@ -102,5 +102,8 @@
 	}
 	group.Wait()
 	r.logf("requests: %v", counts)
+	if counts["status 200"] < 100 {
+		return fmt.Errorf("too few requests were served: %v", counts)
+	}
 	return nil
 }
--- a/review/lab-2/stop.go
+++ b/review/lab-2/stop.go
@@ -90,5 +90,10 @@
 		_ = p.cmd.Process.Kill()
 	}
 	group.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	if len(forwarded) < 2*requests { // a request before the trouble and one with it on each connection
+		return fmt.Errorf("only %d of %d requests were forwarded", len(forwarded), 2*requests)
+	}
 	return nil
 }
--- a/review/lab-2/upgrade.go
+++ b/review/lab-2/upgrade.go
@@ -149,10 +149,11 @@
 				case <-time.After(100 * time.Millisecond):
 				}
 				if c == nil {
-					if c, err = dialClient(u.addr); err != nil {
-						c = nil
+					next, err := dialClient(u.addr)
+					if err != nil {
 						continue
 					}
+					c = next
 				}
 				a := c.exchange(requestText("GET", "form-lookup", newID(), deadline, ""), time.Now().Add(deadline+time.Second))
 				mu.Lock()
@@ -197,6 +198,11 @@
 	time.Sleep(time.Until(began.Add(outage + 2*time.Second)))
 	close(stop)
 	clients.Wait()
+	mu.Lock()
+	defer mu.Unlock()
 	r.logf("requests by endpoint: %v; answers by status: %v", sent, counts)
+	if sent["s-0"] == 0 || counts["200"] < 200 {
+		return fmt.Errorf("too few requests were served: %v", counts)
+	}
 	return nil
 }
