Refuse a request target that is not valid, and forward any other byte for byte

Cause: appendHead wrote URL.RequestURI(), which encodes the decoded path anew whenever the received encoding is not valid; nothing checked that.

Change: http1.CheckTarget refuses (400, close) a target that is not in origin form or has a byte or a percent sign that RFC 3986 rules out; brackets in a query are passed on. connpool.Request.Target replaces URL and is written as received, for every attempt.

--- a/internal/connpool/helpers_test.go
+++ b/internal/connpool/helpers_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"net/url"
 	"sync"
 	"testing"
 	"time"
@@ -42,7 +41,7 @@
 // newRequest returns a GET request without a body.
 func newRequest(path string) *Request {
 	return &Request{
-		Method: http.MethodGet, URL: &url.URL{Path: path}, Host: "api.internal",
+		Method: http.MethodGet, Target: path, Host: "api.internal",
 		Header: http.Header{platform.RequestIDHeader: {"r1"}},
 	}
 }
--- a/internal/connpool/messages.go
+++ b/internal/connpool/messages.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/url"
 	"time"
 
 	"rowancart/internal/sharedbody"
@@ -18,7 +17,7 @@
 // Request is a request to an endpoint.
 type Request struct {
 	Method        string
-	URL           *url.URL
+	Target        string // in the request line, as the client sent it
 	Host          string
 	Header        http.Header      // end-to-end headers; the deadline header is written for each attempt
 	Body          *sharedbody.Body // nil: none
--- a/internal/connpool/requesthead.go
+++ b/internal/connpool/requesthead.go
@@ -22,7 +22,7 @@
 			b = append(b, s...)
 		}
 	}
-	appendText(r.Method, " ", r.URL.RequestURI(), " HTTP/1.1\r\nHost: ", r.Host, "\r\n")
+	appendText(r.Method, " ", r.Target, " HTTP/1.1\r\nHost: ", r.Host, "\r\n")
 	for name, values := range r.Header { // order matters only within a name (RFC 9110, section 5.3)
 		if perAttemptHeaders[name] {
 			continue
--- a/internal/httpserver/request.go
+++ b/internal/httpserver/request.go
@@ -43,6 +43,9 @@
 	if rejection != nil {
 		return nil, rejection
 	}
+	if err := http1.CheckTarget(r.RequestURI); err != nil {
+		return r, closingRejection(http.StatusBadRequest, err.Error())
+	}
 	if rejection := validateHost(r.Host); rejection != nil {
 		return r, rejection
 	}
@@ -223,7 +226,7 @@
 		m.Header.Set(platform.RequestIDHeader, id)
 	}
 	m.Method = r.Method
-	m.URL = r.URL
+	m.Target = r.RequestURI
 	m.Host = cmp.Or(r.Host, s.defaultHost)
 	m.ClientTimeout = timeout
 	return nil
--- a/internal/proxy/helpers_test.go
+++ b/internal/proxy/helpers_test.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/url"
 	"slices"
 	"sync"
 	"testing"
@@ -73,7 +72,7 @@
 // newTestCall returns a call whose deadline is wait from now.
 func (p testPool) newTestCall(id, class string, wait time.Duration) *Call {
 	m := &RequestMessage{
-		Method: http.MethodPost, URL: &url.URL{Path: "/c"}, Host: "api.internal",
+		Method: http.MethodPost, Target: "/c", Host: "api.internal",
 		Header: http.Header{platform.RequestIDHeader: {id}},
 	}
 	return NewCall(balancer.Request{ID: id, Class: class, Deadline: p.Now() + wait}, m)
