Remember request ids as fingerprints, which keep no head in memory

Cause: recent ids were map keys cut out of the string of their head, so each of 4,096 to 8,191 ids kept up to 16 KiB.

Change: internal/recentids, a table of keyed 40-bit fingerprints of 512 KiB, which remembers 16,384 ids at least.

--- a/cmd/sidecar/main_test.go
+++ b/cmd/sidecar/main_test.go
@@ -168,7 +168,8 @@
 		"rowancart/internal/discovery/watch",
 		"rowancart/internal/hotrestart", "rowancart/internal/http1", "rowancart/internal/httpserver",
 		"rowancart/internal/logkey", "rowancart/internal/metrics",
-		"rowancart/internal/netaddr", "rowancart/internal/proxy", "rowancart/internal/route", "rowancart/internal/sharedbody",
+		"rowancart/internal/netaddr", "rowancart/internal/proxy", "rowancart/internal/recentids", "rowancart/internal/route",
+		"rowancart/internal/sharedbody",
 		"rowancart/internal/sidecar",
 		"rowancart/internal/snapshot", "rowancart/internal/platform", "github.com/cespare/xxhash/v2",
 	}
--- a/internal/proxy/callset.go
+++ b/internal/proxy/callset.go
@@ -1,16 +1,18 @@
 package proxy
 
+import "rowancart/internal/recentids"
+
 // callSet holds the calls that are in progress and the ids of recent calls. It is guarded by
 // Pool.mu.
 type callSet struct {
 	byID      map[string]*Call
-	recentIDs recentIDs
+	recentIDs *recentids.Set
 }
 
 // add adds a call and returns true. If a call with the same id is in progress or recent, it returns
 // false and does not add the call.
 func (s *callSet) add(c *Call) bool {
-	if !s.recentIDs.add(c.ID) || s.byID[c.ID] != nil {
+	if !s.recentIDs.Add(c.ID) || s.byID[c.ID] != nil {
 		return false
 	}
 	s.byID[c.ID] = c
--- a/internal/proxy/callset_test.go
+++ b/internal/proxy/callset_test.go
@@ -5,12 +5,13 @@
 	"testing"
 
 	"rowancart/balancer"
+	"rowancart/internal/recentids"
 )
 
 // A duplicate must neither replace the first call nor count as a call in progress, whether the
 // first call is still in progress or has ended.
 func TestCallSetRejectsDuplicateIDs(t *testing.T) {
-	s := callSet{byID: map[string]*Call{}}
+	s := callSet{byID: map[string]*Call{}, recentIDs: recentids.New()}
 	first := NewCall(balancer.Request{ID: "r1"}, nil)
 	duplicate := NewCall(balancer.Request{ID: "r1"}, nil)
 	if !s.add(first) || s.add(duplicate) {
@@ -30,27 +31,12 @@
 
 // The id of a call in progress must be rejected even after it was dropped from the recent ids.
 func TestCallSetRejectsIDOfCallInProgressHoweverOld(t *testing.T) {
-	s := callSet{byID: map[string]*Call{}}
+	s := callSet{byID: map[string]*Call{}, recentIDs: recentids.New()}
 	s.add(NewCall(balancer.Request{ID: "old"}, nil))
-	for i := range 3 * idsPerGeneration {
-		s.recentIDs.add(fmt.Sprint(i))
+	for i := range 8 * recentids.Guaranteed {
+		s.recentIDs.Add(fmt.Sprint(i))
 	}
 	if s.add(NewCall(balancer.Request{ID: "old"}, nil)) {
 		t.Error("the id of a call in progress was accepted again")
 	}
 }
-
-func TestRecentIDsAreBounded(t *testing.T) {
-	var r recentIDs
-	for i := range 10 * idsPerGeneration {
-		if !r.add(fmt.Sprint(i)) {
-			t.Fatalf("id %d is new, but add reported it as known", i)
-		}
-		if i >= idsPerGeneration && r.add(fmt.Sprint(i-idsPerGeneration+1)) {
-			t.Fatalf("after id %d was added, id %d is no longer known", i, i-idsPerGeneration+1)
-		}
-	}
-	if n := len(r.current) + len(r.previous); n > 2*idsPerGeneration {
-		t.Errorf("%d ids are kept, more than two generations", n)
-	}
-}
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -14,6 +14,7 @@
 
 	"rowancart/balancer"
 	"rowancart/internal/connpool"
+	"rowancart/internal/recentids"
 )
 
 // Options configure a Pool, except for its Balancer, which balancer.Settings configure.
@@ -90,7 +91,7 @@
 		subscribe:     o.Subscribe,
 		log:           o.Log,
 		cancelAllowed: s.CancelAllowed,
-		calls:         callSet{byID: map[string]*Call{}},
+		calls:         callSet{byID: map[string]*Call{}, recentIDs: recentids.New()},
 		endpoints:     newEndpointSet(c),
 		unserved:      unservedLog{log: o.Log, byReason: map[balancer.Reason]*unservedCount{}},
 	}
