Draw the memory of all connections from one budget

Change: internal/membudget. Beyond a small fixed amount a connection reserves what it uses; without memory a body is passed on in pieces of 4 KiB, and a long head waits with a deadline, then gets 503 with Retry-After. Over 1,000 lines of a head get 431. Large buffers are dropped between requests. The daemon has metrics for it.

--- a/cmd/sidecar/main_test.go
+++ b/cmd/sidecar/main_test.go
@@ -167,7 +167,7 @@
 		"rowancart/internal/connpool",
 		"rowancart/internal/discovery/watch",
 		"rowancart/internal/hotrestart", "rowancart/internal/http1", "rowancart/internal/httpserver",
-		"rowancart/internal/logkey", "rowancart/internal/metrics",
+		"rowancart/internal/logkey", "rowancart/internal/membudget", "rowancart/internal/metrics",
 		"rowancart/internal/netaddr", "rowancart/internal/proxy", "rowancart/internal/recentids", "rowancart/internal/route",
 		"rowancart/internal/sharedbody",
 		"rowancart/internal/sidecar",
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -9,6 +9,10 @@
 	"time"
 )
 
+// maxIdleBuffer is the maximum size, in bytes, of the write buffer of a connection that is not
+// writing a request.
+const maxIdleBuffer = 4 << 10
+
 // conn is one connection to an endpoint. It carries one exchange at a time. It belongs to the
 // attempt that acquired it and then, if the response is streamed, to the Stream. While it is idle,
 // it belongs to the Pool, whose mu guards it.
@@ -17,7 +21,7 @@
 	rawConn     syscall.RawConn
 	readLimit   *io.LimitedReader // limits how many more bytes reader may read
 	reader      *bufio.Reader
-	writeBuffer []byte // reused from one request to the next
+	writeBuffer []byte // reused from one request to the next, if it is not large
 
 	endpoint    *endpointConns
 	dialedAddr  string
@@ -37,6 +41,13 @@
 	}, nil
 }
 
+// dropLargeBuffer frees the write buffer if it has grown beyond what an idle connection may hold.
+func (c *conn) dropLargeBuffer() {
+	if cap(c.writeBuffer) > maxIdleBuffer {
+		c.writeBuffer = nil
+	}
+}
+
 // isReused reports whether the connection has carried an exchange before the present one.
 func (c *conn) isReused() bool { return !c.idleSince.IsZero() }
 
--- a/internal/connpool/exchange.go
+++ b/internal/connpool/exchange.go
@@ -131,13 +131,16 @@
 	if req.Body.IsLong() && a.OnRequestWritten != nil {
 		a.OnRequestWritten()
 	}
-	received, err := responseReader{pool: p, conn: c, deadline: a.Deadline}.read(req.Method)
+	received, err := responseReader{pool: p, conn: c, memory: req.Memory, deadline: a.Deadline}.read(req.Method)
 	if err != nil {
 		return exchangeResult{err: a.readFailure(err)}
 	}
 	isStreamed := received.response.Stream != nil
 	result := exchangeResult{reusable: !received.isLast && !isStreamed && c.reader.Buffered() == 0}
 	result.response, result.err = p.evaluateResponse(received.response)
+	if result.err != nil {
+		received.response.ReleaseBody(req.Memory)
+	}
 	return result
 }
 
@@ -193,7 +196,7 @@
 	if !req.Body.IsLong() || a.isCanceled() {
 		return Response{}, a.failure(ConnectFailed, writeErr)
 	}
-	early, err := p.readEarlyResponse(c, req.Method)
+	early, err := p.readEarlyResponse(c, req)
 	switch {
 	case err != nil:
 		return Response{}, a.failure(ConnectFailed, writeErr)
@@ -208,12 +211,12 @@
 
 // readEarlyResponse reads a response that may have arrived before the request was written
 // completely.
-func (p *Pool) readEarlyResponse(c *conn, method string) (Response, error) {
+func (p *Pool) readEarlyResponse(c *conn, req *Request) (Response, error) {
 	deadline := time.Now().Add(earlyResponseTimeout)
 	if err := c.SetReadDeadline(deadline); err != nil {
 		return Response{}, err
 	}
-	received, err := responseReader{pool: p, conn: c, deadline: deadline}.read(method)
+	received, err := responseReader{pool: p, conn: c, memory: req.Memory, deadline: deadline}.read(req.Method)
 	return received.response, err
 }
 
--- a/internal/connpool/longbody.go
+++ b/internal/connpool/longbody.go
@@ -42,9 +42,9 @@
 
 // writeLongBody writes a long body.
 func (c *conn) writeLongBody(a *Attempt, req *Request, body *sharedbody.Lease) error {
-	buffer := http1.Buffers.Get().(*[]byte)
-	defer http1.Buffers.Put(buffer)
-	w := bodyWriter{conn: c, attempt: a, request: req, body: body, buffer: *buffer}
+	buffer := http1.AcquirePieceBuffer(req.Memory)
+	defer buffer.Release(req.Memory)
+	w := bodyWriter{conn: c, attempt: a, request: req, body: body, buffer: buffer}
 	for _, part := range body.Parts() {
 		if err := w.writePart(part); err != nil {
 			return err
@@ -75,28 +75,22 @@
 	attempt *Attempt
 	request *Request
 	body    *sharedbody.Lease
-	buffer  []byte // one of http1.Buffers: holds a piece of the body, with space for its chunk framing
+	buffer  *http1.PieceBuffer
 }
 
-// piece returns the part of the buffer that holds a piece of the body, without the space for chunk
-// framing.
-func (w *bodyWriter) piece() []byte {
-	return w.buffer[http1.ChunkHeadSize : http1.ChunkHeadSize+http1.BufferSize]
-}
-
-// framedPiece returns the first n bytes of piece in the form in which they are written: framed as a
-// chunk if the length of the body is unknown, otherwise as they are.
+// framedPiece returns the first n bytes of the piece in the form in which they are written: framed
+// as a chunk if the length of the body is unknown, otherwise as they are.
 func (w *bodyWriter) framedPiece(n int) []byte {
 	if w.request.Body.Length() < 0 {
-		return http1.FrameChunk(w.buffer, n)
+		return w.buffer.Chunk(n)
 	}
-	return w.piece()[:n]
+	return w.buffer.Data()[:n]
 }
 
 // writePart writes a part of the body that is in memory.
 func (w *bodyWriter) writePart(part []byte) error {
 	for len(part) > 0 {
-		n := copy(w.piece(), part)
+		n := copy(w.buffer.Data(), part)
 		part = part[n:]
 		if err := w.conn.writeAll(w.framedPiece(n)); err != nil {
 			return err
@@ -116,7 +110,7 @@
 	}
 	rest := w.body.StartRest()
 	for {
-		n, err := rest.Read(w.piece())
+		n, err := rest.Read(w.buffer.Data())
 		if n > 0 {
 			if err := w.writePiece(n); err != nil {
 				return err
@@ -139,7 +133,7 @@
 	return w.conn.writeAll([]byte(http1.LastChunk))
 }
 
-// writePiece writes the first n bytes of piece, which have just been read from the client. It
+// writePiece writes the first n bytes of the piece, which have just been read from the client. It
 // returns errEarlyResponse if the endpoint has responded or closed the connection meanwhile.
 func (w *bodyWriter) writePiece(n int) error {
 	if w.conn.hasPendingInput() {
--- a/internal/connpool/messages.go
+++ b/internal/connpool/messages.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"rowancart/internal/membudget"
 	"rowancart/internal/sharedbody"
 )
 
@@ -19,9 +20,10 @@
 	Method        string
 	Target        string // in the request line, as the client sent it
 	Host          string
-	Header        http.Header      // end-to-end headers; the deadline header is written for each attempt
-	Body          *sharedbody.Body // nil: none
-	ClientTimeout time.Duration    // how long the client waits, once it has sent the last byte of a long body
+	Header        http.Header        // end-to-end headers; the deadline header is written for each attempt
+	Body          *sharedbody.Body   // nil: none
+	Memory        *membudget.Account // of the request; nil: there is no limit
+	ClientTimeout time.Duration      // how long the client waits, once it has sent the last byte of a long body
 }
 
 // clientDeadline returns the earliest time at which the client of a request, part of whose body is
@@ -37,4 +39,14 @@
 	Body   []byte      // the complete body, or the beginning if there is a Stream
 	Stream *Stream     // the rest of the body, after Body; the receiver of the response has to close it. nil: none
 	Length int64       // of the complete body in bytes, if there is a Stream; below 0: unknown
+
+	reservedBody int // bytes that are reserved for Body
+}
+
+// ReleaseBody drops Body, which must not be used any more, and gives back the memory that was
+// reserved for it in the account of the request.
+func (r *Response) ReleaseBody(memory *membudget.Account) {
+	r.Body = nil
+	memory.Release(r.reservedBody)
+	r.reservedBody = 0
 }
--- a/internal/connpool/response.go
+++ b/internal/connpool/response.go
@@ -6,15 +6,15 @@
 	"math"
 	"net/http"
 	"os"
-	"slices"
 	"time"
 
 	"rowancart/internal/http1"
+	"rowancart/internal/membudget"
 )
 
 const (
 	maxInterimResponses = 8                     // 1xx responses after which reading a response fails
-	minBodyGrowth       = 4 << 10               // minimum growth, in bytes, of the buffer for a body of unknown length
+	unreservedBody      = 4 << 10               // bytes of a body that are buffered without a reservation of memory
 	streamAfter         = 50 * time.Millisecond // after which a body of unknown length that has not ended is streamed
 )
 
@@ -29,7 +29,8 @@
 type responseReader struct {
 	pool     *Pool
 	conn     *conn
-	deadline time.Time // by which the complete response must have been read, unless it is streamed
+	memory   *membudget.Account // of the request
+	deadline time.Time          // by which the complete response must have been read, unless it is streamed
 }
 
 // receivedResponse is a response that was read completely, or up to the part that is left to its
@@ -98,8 +99,8 @@
 	return bodyFraming{length: head.ContentLength, isLast: head.Close}
 }
 
-// readBody reads a body of up to MaxBody bytes and streams a longer one. If the response is not
-// passed on to the client, it does not read a body that is or may be longer.
+// readBody reads a body of up to MaxBody bytes and streams a longer one, or one for which there is
+// no memory. If the response is not passed on to the client, it does not read such a body.
 func (r responseReader) readBody(resp Response, f bodyFraming) (receivedResponse, error) {
 	r.conn.readLimit.N = math.MaxInt64
 	body := http1.NewBody(bodySource{r.conn}, f.length)
@@ -114,15 +115,44 @@
 	case f.length < 0:
 		return r.readBodyOfUnknownLength(resp, body, f)
 	}
+	return r.readBodyOfKnownLength(resp, body, f)
+}
+
+// readBodyOfKnownLength reads a body of at most MaxBody bytes, or streams it if there is no memory
+// for it.
+func (r responseReader) readBodyOfKnownLength(
+	resp Response, body *http1.Body, f bodyFraming,
+) (receivedResponse, error) {
+	if !r.reserveBody(&resp, int(f.length)) {
+		if !r.pool.isSuccess(resp.Status) {
+			return receivedResponse{response: resp, isLast: true}, nil // the body is not read
+		}
+		return r.stream(resp, body, f), nil
+	}
 	resp.Body = make([]byte, f.length)
 	if _, err := io.ReadFull(body, resp.Body); err != nil {
+		resp.ReleaseBody(r.memory)
 		return receivedResponse{}, err
 	}
 	return receivedResponse{response: resp, isLast: f.isLast}, nil
 }
 
+// reserveBody reserves the memory for size bytes of a response's body, beyond what may be buffered
+// without a reservation. It reports whether the body may be buffered.
+func (r responseReader) reserveBody(resp *Response, size int) bool {
+	if size <= unreservedBody {
+		return true
+	}
+	if !r.memory.TryReserve(size, membudget.Streaming) {
+		return false
+	}
+	resp.reservedBody = size
+	return true
+}
+
 // readBodyOfUnknownLength reads a body that ends before streamAfter has passed and within MaxBody
-// bytes, and streams any other, because it may be long.
+// bytes, and streams any other, because it may be long. It also streams a body for which there is
+// no memory.
 func (r responseReader) readBodyOfUnknownLength(
 	resp Response, body *http1.Body, f bodyFraming,
 ) (receivedResponse, error) {
@@ -130,10 +160,9 @@
 	if streamAt.Before(r.deadline) && r.conn.SetReadDeadline(streamAt) != nil {
 		return receivedResponse{}, errConnClosed
 	}
-	resp.Body = make([]byte, 0, minBodyGrowth)
-	for !body.Ended() && len(resp.Body) < MaxBody {
-		resp.Body = slices.Grow(resp.Body, minBodyGrowth)
-		n, err := body.Read(resp.Body[len(resp.Body):min(cap(resp.Body), MaxBody)])
+	resp.Body = make([]byte, 0, unreservedBody)
+	for !body.Ended() && r.growBody(&resp) {
+		n, err := body.Read(resp.Body[len(resp.Body):cap(resp.Body)])
 		resp.Body = resp.Body[:len(resp.Body)+n]
 		if errors.Is(err, io.EOF) {
 			break
@@ -142,6 +171,7 @@
 			return r.stream(resp, body, f), nil
 		}
 		if err != nil {
+			resp.ReleaseBody(r.memory)
 			return receivedResponse{}, err
 		}
 	}
@@ -151,6 +181,19 @@
 	return receivedResponse{response: resp, isLast: f.isLast}, nil
 }
 
+// growBody makes space in the buffer of a body of unknown length if it is full. It returns false if
+// the buffer has MaxBody bytes already, or there is no memory for a larger one.
+func (r responseReader) growBody(resp *Response) bool {
+	switch {
+	case len(resp.Body) < cap(resp.Body):
+		return true
+	case len(resp.Body) >= MaxBody || !r.reserveBody(resp, MaxBody):
+		return false
+	}
+	resp.Body = append(make([]byte, 0, MaxBody), resp.Body...)
+	return true
+}
+
 // stream returns the response with the remaining body as a Stream.
 func (r responseReader) stream(resp Response, body *http1.Body, f bodyFraming) receivedResponse {
 	resp.Length = f.length
--- a/internal/connpool/write.go
+++ b/internal/connpool/write.go
@@ -13,6 +13,7 @@
 // writeRequest writes a request completely, or returns an error that wraps errWriteFailed,
 // errEarlyResponse, errUploadFailed, errBodyUnavailable or errAttemptCanceled.
 func (c *conn) writeRequest(a *Attempt, req *Request) error {
+	defer c.dropLargeBuffer()
 	if req.Body == nil {
 		return c.writeShortRequest(a, req, nil)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,6 +32,7 @@
 	"rowancart/internal/filewatch"
 	"rowancart/internal/hotrestart/successor"
 	"rowancart/internal/logkey"
+	"rowancart/internal/membudget"
 )
 
 // shutdownAcceptPeriod is how long the daemon goes on accepting connections after the signal to
@@ -66,6 +67,7 @@
 	mu        sync.RWMutex
 	current   *generation
 	limiters  limiterSet
+	memory    *membudget.Budget // that all clients' connections share
 	listeners listenerSet
 	reloads   ReloadStatus
 }
@@ -103,6 +105,7 @@
 		snapshots: snapshotWriter{log: o.Log},
 		retired:   newRetiredGenerations(),
 		limiters:  limiterSet{},
+		memory:    membudget.New(requestMemory(c)),
 	}
 	d.requestIDs.prefix = d.seed
 	d.metrics = newMetrics(d)
--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -82,6 +82,7 @@
 	}
 	d.addPools(g, old)
 	d.configurePools(g)
+	d.memory.SetLimit(requestMemory(c))
 
 	d.mu.Lock()
 	for _, route := range d.limiters.update(time.Now(), c.Routes) {
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -128,6 +128,7 @@
 	l.conns = httpserver.NewSheddingListener(socket, maxConns)
 	l.server = httpserver.New(l, "rowancart", c.Address, d.log)
 	l.server.RoundRetryAfter()
+	l.server.SetMemory(d.memory)
 	return l
 }
 
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -141,6 +141,10 @@
 	poolConnsDesc  = newDesc("rowancart_pool_connections", "Connections open to the endpoints of a pool.", "pool")
 	conflictsDesc  = newDesc("rowancart_body_conflicts_total",
 		"Attempts that found the body of their request in use by another attempt, by pool.", "pool")
+	memoryDesc = newDesc("rowancart_request_memory_bytes",
+		"Memory that requests have reserved, and the limit for that.", "kind")
+	memoryRefusedDesc = newDesc("rowancart_request_memory_refused_total",
+		"Reservations of memory that were refused: the request did with less, or was turned away.")
 	connsDesc    = newDesc("rowancart_connections", "Callers' connections, by listener.", "listener")
 	rejectedDesc = newDesc("rowancart_turned_away_total", "Connections turned away for lack of places, by listener.",
 		"listener")
@@ -154,7 +158,7 @@
 func (c *statusCollector) Describe(out chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
 		generationDesc, reloadsDesc, endpointsDesc, requestsDesc, poolConnsDesc, conflictsDesc, connsDesc,
-		rejectedDesc,
+		rejectedDesc, memoryDesc, memoryRefusedDesc,
 	} {
 		out <- d
 	}
@@ -173,6 +177,10 @@
 	gauge(generationDesc, s.Generation)
 	counter(reloadsDesc, s.Reloads.Succeeded, strconv.FormatBool(true))
 	counter(reloadsDesc, s.Reloads.Failed, strconv.FormatBool(false))
+	memory := c.daemon.memory.Usage()
+	gauge(memoryDesc, int(memory.Used), "reserved")
+	gauge(memoryDesc, int(memory.Limit), "limit")
+	counter(memoryRefusedDesc, int(memory.Refused))
 	for _, p := range s.Pools {
 		if p.Removed {
 			continue
--- a/internal/http1/chunkencoder.go
+++ b/internal/http1/chunkencoder.go
@@ -2,7 +2,6 @@
 
 import (
 	"strconv"
-	"sync"
 	"time"
 )
 
@@ -15,23 +14,10 @@
 // LastChunk ends a chunked body that has no trailer fields.
 const LastChunk = "0\r\n\r\n"
 
-// BufferSize is the maximum number of bytes of a streamed body that are buffered between the
-// client's and the endpoint's connection.
-const BufferSize = 32 << 10
-
 // StreamIdleTimeout is the time within which a peer must send or receive the next part of a
 // streamed body. A slow peer may need seconds for one part.
 const StreamIdleTimeout = 12 * time.Second
 
-// Buffers is a pool of buffers for streamed bodies. Its values are of type *[]byte and have space
-// for a chunk of BufferSize bytes and its framing.
-var Buffers = sync.Pool{New: newBuffer}
-
-func newBuffer() any {
-	b := make([]byte, ChunkHeadSize+BufferSize+ChunkTailSize)
-	return &b
-}
-
 // FrameChunk writes the framing of a chunk around the n bytes of data that start at
 // b[ChunkHeadSize], and returns the part of b that is the chunk. b must have ChunkTailSize bytes
 // after the data.
--- a/internal/httpserver/bodybuffers.go
+++ b/internal/httpserver/bodybuffers.go
@@ -8,6 +8,7 @@
 	bodyQuotaDivisor  = 4        // one body may use a quarter of bodyBufferPool.limit
 	maxFreeBuffers    = 16       // maximum number of buffers kept for reuse
 	defaultBodyMemory = 8 << 20  // maximum bytes of all buffers in use
+	defaultMemory     = 32 << 20 // bytes of the budget of a Server that shares none
 )
 
 // bodyBufferPool provides the buffers for the long request bodies of all connections, and limits
--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"time"
 
+	"rowancart/internal/membudget"
 	"rowancart/internal/platform"
 	"rowancart/internal/proxy"
 	"rowancart/internal/sharedbody"
@@ -16,6 +17,7 @@
 const (
 	bufferIdleTimeout = time.Second            // an idle connection frees its buffers after this time
 	lingerTimeout     = 500 * time.Millisecond // time for the client to read the last response before the close
+	maxIdleOutput     = 8 << 10                // bytes of the output buffer that a connection keeps between two requests
 	maxLingerBytes    = 256 << 10              // maximum bytes that are read and discarded during lingerTimeout
 )
 
@@ -31,6 +33,8 @@
 	disconnect  disconnectWatcher
 	lastRequest bool // the current request is the last: its response closes the connection
 
+	requestMemory *membudget.Account // of the current request
+
 	requestStart time.Time // when the connection was accepted, or the first byte of its current request was read
 	responseDue  bool      // the current request's head has been read or rejected, so it must get a response
 
@@ -44,7 +48,7 @@
 		server:       s,
 		netConn:      nc,
 		socket:       socket,
-		reader:       connReader{Conn: nc, socket: socket},
+		reader:       connReader{Conn: nc, socket: socket, memory: s.memory.NewAccount()},
 		disconnect:   disconnectWatcher{socket: socket},
 		requestStart: nc.since,
 	}
@@ -55,6 +59,7 @@
 	defer l.setState(nc, http.StateClosed)
 	defer nc.Close()
 	c := newConn(s, nc)
+	defer c.reader.memory.Close()
 	defer func() {
 		if value := recover(); value != nil { // a panic in one request must not end the process
 			s.log.Error("request panicked", "panic", value, "stack", string(debug.Stack()))
@@ -123,6 +128,8 @@
 // carry another request.
 func (c *conn) serveRequest() bool {
 	c.responseDue = false
+	c.requestMemory = c.server.memory.NewAccount()
+	defer c.releaseMemory()
 	r, err := c.readRequestHead()
 	if err != nil {
 		return c.rejectHead(r, err)
@@ -142,6 +149,16 @@
 	return c.forward(r, target, body)
 }
 
+// releaseMemory gives back the memory of the current request, except for small buffers that the
+// next request reuses.
+func (c *conn) releaseMemory() {
+	c.requestMemory.Close()
+	c.reader.shrink()
+	if cap(c.output) > maxIdleOutput {
+		c.output = nil
+	}
+}
+
 // rejectHead handles an error of readRequestHead. It reports whether the connection can carry
 // another request.
 func (c *conn) rejectHead(r *http.Request, err error) bool {
@@ -187,7 +204,7 @@
 	if target.Done != nil {
 		defer func() { target.Done(f.outcome) }()
 	}
-	f.message = &proxy.RequestMessage{}
+	f.message = &proxy.RequestMessage{Memory: c.requestMemory}
 	if rejection := c.server.completeMessage(f.message, r, &f.target, body); rejection != nil {
 		return c.rejectUnread(r, body, rejection)
 	}
@@ -203,7 +220,7 @@
 	}
 	f.outcome.Forwarded = true
 	f.outcome.Result = c.do(&f)
-	return c.writeResult(r, f.outcome.Result)
+	return c.writeResult(r, &f.outcome.Result)
 }
 
 // isDisconnected reports whether the client has disconnected.
@@ -238,10 +255,10 @@
 	}
 	if !ended { // the rest of the body must not be read as the next request
 		c.lastRequest = true
-		c.writeResult(f.request, f.outcome.Result)
+		c.writeResult(f.request, &f.outcome.Result)
 		return c.lingeringClose()
 	}
-	return c.writeResult(f.request, f.outcome.Result)
+	return c.writeResult(f.request, &f.outcome.Result)
 }
 
 // do passes a call to its pool, waits for the result and releases the body. It notifies the pool if
--- a/internal/httpserver/connreader.go
+++ b/internal/httpserver/connreader.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"rowancart/internal/membudget"
 	"rowancart/internal/proxy"
 )
 
@@ -25,6 +26,7 @@
 var (
 	errHeadTooLong = errors.New("the head is too long") // it exceeds proxy.MaxHead
 	errBareLF      = errors.New("a line that does not end with CR LF")
+	errNoMemory    = errors.New("there is no memory for a head of this length")
 )
 
 var (
@@ -38,6 +40,12 @@
 	net.Conn
 	socket socket // of Conn
 
+	memory   *membudget.Account // of the connection
+	reserved int                // bytes that are reserved in memory for buf
+
+	// memoryDeadline is the time by which the memory for a long head must be reserved.
+	memoryDeadline time.Time
+
 	buf   []byte
 	start int // index of the first byte in buf that is not consumed
 	end   int // index after the last byte of data in buf
@@ -115,7 +123,9 @@
 		r.start, r.end = 0, 0
 	}
 	if r.end == len(r.buf) {
-		r.makeSpace()
+		if err := r.makeSpace(); err != nil {
+			return err
+		}
 	}
 	n, err := r.Read(r.buf[r.end:])
 	r.end += n
@@ -126,14 +136,36 @@
 }
 
 // makeSpace moves the data to the beginning of the buffer. If the data is already there, it
-// enlarges the buffer.
-func (r *connReader) makeSpace() {
-	if r.start > 0 {
+// enlarges the buffer: from initialBufferSize to the longest head, once the memory for that is
+// reserved.
+func (r *connReader) makeSpace() error {
+	switch {
+	case r.start > 0:
 		r.end = copy(r.buf, r.buffered())
 		r.start = 0
+	case len(r.buf) == 0:
+		r.buf = make([]byte, initialBufferSize)
+	case r.memory.Reserve(proxy.MaxHead, membudget.Receiving, time.Until(r.memoryDeadline)):
+		r.reserved = proxy.MaxHead
+		r.buf = append(make([]byte, 0, proxy.MaxHead), r.buf...)[:proxy.MaxHead]
+	default:
+		return errNoMemory
+	}
+	return nil
+}
+
+// shrink frees a buffer larger than initialBufferSize if its data fits into one of that size.
+func (r *connReader) shrink() {
+	data := r.buffered()
+	if len(r.buf) <= initialBufferSize || len(data) > initialBufferSize {
 		return
 	}
-	r.buf = append(r.buf, make([]byte, max(len(r.buf), initialBufferSize))...)
+	buf := make([]byte, initialBufferSize)
+	r.end = copy(buf, data)
+	r.start = 0
+	r.buf = buf
+	r.memory.Release(r.reserved)
+	r.reserved = 0
 }
 
 // readHead waits for a complete head and consumes it with its empty line. The head is valid until
--- a/internal/httpserver/receivedbody.go
+++ b/internal/httpserver/receivedbody.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 
+	"rowancart/internal/membudget"
 	"rowancart/internal/proxy"
 )
 
@@ -31,13 +32,17 @@
 	}
 }
 
-// newReceivedBody returns a body with memory for size bytes of data.
-func newReceivedBody(size int) receivedBody {
-	if size <= initialBufferSize {
-		return receivedBody{data: make([]byte, size)}
+// newReceivedBody returns a body with space for size bytes of data. If there is no memory for that,
+// the space is smaller: the rest of the body is then streamed.
+func newReceivedBody(size int, memory *membudget.Account) receivedBody {
+	if size <= initialBufferSize || !memory.TryReserve(proxy.MaxBody, membudget.Receiving) {
+		return receivedBody{data: make([]byte, min(size, initialBufferSize))}
 	}
-	memory := bodyDataPool.Get().(*[]byte)
-	return receivedBody{data: (*memory)[:size], releaseData: func() { bodyDataPool.Put(memory) }}
+	space := bodyDataPool.Get().(*[]byte)
+	return receivedBody{data: (*space)[:size], releaseData: func() {
+		bodyDataPool.Put(space)
+		memory.Release(proxy.MaxBody)
+	}}
 }
 
 // bodyRejection returns the rejection of a request whose body could not be read.
@@ -48,7 +53,8 @@
 	return closingRejection(http.StatusBadRequest, "the body can't be read")
 }
 
-// readBody reads a request's body, or the first proxy.MaxBody bytes of a longer one.
+// readBody reads a request's body, or the first proxy.MaxBody bytes of a longer one. If there is no
+// memory for that, it reads only the first initialBufferSize bytes.
 func (c *conn) readBody(r *http.Request) (receivedBody, *Rejection) {
 	length := r.ContentLength // -1 is http1.Chunked
 	expect := r.Header.Get("Expect")
@@ -69,7 +75,7 @@
 	if length > 0 {
 		size = int(min(length, proxy.MaxBody))
 	}
-	received := newReceivedBody(size)
+	received := newReceivedBody(size, c.requestMemory)
 	body := c.newRequestBody(length)
 	n, err := body.readFull(received.data)
 	if err != nil {
@@ -79,7 +85,7 @@
 	received.data = received.data[:n]
 	if !body.ended() {
 		received.streamed = &streamedBody{
-			requestBody: body, length: length, buffers: &c.server.bodyBuffers, socket: c.socket,
+			requestBody: body, length: length, buffers: &c.server.bodyBuffers, memory: c.requestMemory, socket: c.socket,
 		}
 	}
 	return received, nil
--- a/internal/httpserver/request.go
+++ b/internal/httpserver/request.go
@@ -13,6 +13,7 @@
 
 	"rowancart/balancer"
 	"rowancart/internal/http1"
+	"rowancart/internal/membudget"
 	"rowancart/internal/platform"
 	"rowancart/internal/proxy"
 )
@@ -21,6 +22,13 @@
 	maxRequestIDLength = 256       // bytes
 	maxClientTimeout   = time.Hour // maximum deadline that a client may send
 
+	maxHeadFields    = 1000 // lines of a head
+	unreservedFields = 32   // lines of a head for which no memory is reserved
+	fieldMemory      = 200  // bytes that a parsed field takes beside its text
+	headCopies       = 2    // of a long head's text: the parsed one, and the one that is written to an endpoint
+
+	memoryRetryAfter = time.Second // Retry-After of a request for which there is no memory
+
 	// networkAllowance is the part of a client's deadline that is reserved for transfer: 0.4 ms in
 	// this process (p99) and the round-trip time on the network.
 	networkAllowance = 10 * time.Millisecond
@@ -30,8 +38,11 @@
 // error is a *Rejection, and the request is nil if it could not be parsed. Any other error means
 // that the connection was closed or timed out.
 func (c *conn) readRequestHead() (*http.Request, error) {
+	c.reader.memoryDeadline = c.requestStart.Add(memoryTimeout)
 	head, err := c.reader.readHead()
 	switch {
+	case errors.Is(err, errNoMemory):
+		return nil, memoryRejection()
 	case errors.Is(err, errHeadTooLong):
 		return nil, closingRejection(http.StatusRequestHeaderFieldsTooLarge, err.Error())
 	case errors.Is(err, errBareLF):
@@ -39,7 +50,11 @@
 	case err != nil:
 		return nil, err
 	}
+	if rejection := c.reserveHead(head); rejection != nil {
+		return nil, rejection
+	}
 	r, rejection := parseHead(head)
+	c.reader.shrink() // the parsed request does not refer to the head
 	if rejection != nil {
 		return nil, rejection
 	}
@@ -55,6 +70,30 @@
 	return r, nil
 }
 
+// reserveHead reserves the memory that a parsed head takes beyond what every request may use. It
+// rejects a head with too many fields, or for which there is no memory in time.
+func (c *conn) reserveHead(head []byte) *Rejection {
+	fields := bytes.Count(head, crlf)
+	if fields > maxHeadFields {
+		return closingRejection(http.StatusRequestHeaderFieldsTooLarge, "too many header fields")
+	}
+	size := max(fields-unreservedFields, 0) * fieldMemory
+	if len(head) > initialBufferSize {
+		size += headCopies * len(head)
+	}
+	if size > 0 && !c.requestMemory.Reserve(size, membudget.Serving, time.Until(c.requestStart.Add(requestHeadTimeout))) {
+		return memoryRejection()
+	}
+	return nil
+}
+
+// memoryRejection returns the rejection of a request for which there is no memory.
+func memoryRejection() *Rejection {
+	rejection := closingRejection(http.StatusServiceUnavailable, errNoMemory.Error())
+	rejection.RetryAfter = memoryRetryAfter
+	return rejection
+}
+
 // parseHead parses the head of a request. It rejects a head that different servers could interpret
 // differently.
 func parseHead(head []byte) (*http.Request, *Rejection) {
--- a/internal/httpserver/response.go
+++ b/internal/httpserver/response.go
@@ -76,7 +76,7 @@
 }
 
 // writeResult writes a pool's result and reports whether the connection can carry another request.
-func (c *conn) writeResult(r *http.Request, result proxy.Result) bool {
+func (c *conn) writeResult(r *http.Request, result *proxy.Result) bool {
 	if result.Kind == proxy.Served {
 		response := &result.Response
 		if response.Stream != nil {
--- a/internal/httpserver/responsestream.go
+++ b/internal/httpserver/responsestream.go
@@ -71,54 +71,61 @@
 // copyStream writes the output and then the whole body of a response. It reports whether
 // everything was written.
 func (c *conn) copyStream(response *proxy.Response, framing bodyFraming) bool {
-	buffer := http1.Buffers.Get().(*[]byte)
-	defer http1.Buffers.Put(buffer)
-	data := (*buffer)[http1.ChunkHeadSize : len(*buffer)-http1.ChunkTailSize]
-	n := copy(data, response.Body)
-	unsent := response.Body[n:] // the part of the body that was read with the head and is not written yet
-	for ended := false; ; {
-		tail := ""
-		if ended && framing == framedByChunks {
-			tail = http1.LastChunk
-		}
-		if !c.writeStreamPart(*buffer, n, framing, tail) {
+	buffer := http1.AcquirePieceBuffer(c.requestMemory)
+	defer buffer.Release(c.requestMemory)
+	for unsent := response.Body; len(unsent) > 0; { // the part of the body that was read with the head
+		n := copy(buffer.Data(), unsent)
+		unsent = unsent[n:]
+		if !c.writePiece(buffer, n, framing) {
 			return false
 		}
-		if ended {
-			return true
-		}
-		if n = copy(data, unsent); n > 0 {
-			unsent = unsent[n:]
-			continue
-		}
-		var err error
-		n, err = response.Stream.Read(data)
-		ended = errors.Is(err, io.EOF) || response.Stream.Ended()
+	}
+	response.ReleaseBody(c.requestMemory)
+	if !c.writeOutputPart() { // if there was no piece
+		return false
+	}
+	for {
+		n, err := response.Stream.Read(buffer.Data())
+		ended := errors.Is(err, io.EOF) || response.Stream.Ended()
 		if err != nil && !ended {
 			return false
 		}
+		if !c.writePiece(buffer, n, framing) {
+			return false
+		}
+		if ended {
+			return c.writeStreamEnd(framing)
+		}
 	}
 }
 
-// writeStreamPart writes the output, the next n bytes of a body, and the tail. The bytes of the
-// body start at http1.ChunkHeadSize in the buffer. It reports whether everything was written.
-func (c *conn) writeStreamPart(buffer []byte, n int, framing bodyFraming, tail string) bool {
-	data := buffer[http1.ChunkHeadSize : http1.ChunkHeadSize+n]
-	switch {
-	case n > 0 && framing == framedByChunks:
-		c.output = append(c.output, http1.FrameChunk(buffer, n)...)
-	case len(c.output) > 0:
-		c.output = append(c.output, data...)
+// writePiece writes the output, if there is any, and a piece of n bytes. It reports whether
+// everything was written.
+func (c *conn) writePiece(buffer *http1.PieceBuffer, n int, framing bodyFraming) bool {
+	if n == 0 {
+		return true
 	}
-	c.output = append(c.output, tail...)
-	if len(c.output) == 0 {
-		return c.writePart(data)
+	piece := buffer.Data()[:n]
+	if framing == framedByChunks {
+		piece = buffer.Chunk(n)
 	}
-	if !c.writePart(c.output) {
-		return false
+	if len(c.output) == 0 || len(c.output)+len(piece) > maxIdleOutput {
+		return c.writeOutputPart() && c.writePart(piece)
 	}
+	c.output = append(c.output, piece...)
+	return c.writeOutputPart()
+}
+
+// writeStreamEnd writes what marks the end of a streamed body, if anything.
+func (c *conn) writeStreamEnd(framing bodyFraming) bool {
+	return framing != framedByChunks || c.writePart([]byte(http1.LastChunk))
+}
+
+// writeOutputPart writes the output as a part of a response, and empties it.
+func (c *conn) writeOutputPart() bool {
+	written := c.writePart(c.output)
 	c.output = c.output[:0]
-	return true
+	return written
 }
 
 // writePart writes a part of a response. The client has http1.StreamIdleTimeout to read
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -10,6 +10,8 @@
 	"log/slog"
 	"sync/atomic"
 	"time"
+
+	"rowancart/internal/membudget"
 )
 
 // Time limits on a client's connection.
@@ -22,6 +24,10 @@
 	// minBodyRate.
 	defaultBodyGracePeriod = 800 * time.Millisecond
 
+	// memoryTimeout is how long after its first byte a request may wait for the memory that its head
+	// needs. It is less than requestHeadTimeout, so that the head can still be read.
+	memoryTimeout = 1500 * time.Millisecond
+
 	writeTimeout = 5 * time.Second // a client has at least this long to read a response that is not streamed
 	idleTimeout  = 5 * time.Minute // limit on waiting for the next request after bufferIdleTimeout
 )
@@ -35,6 +41,7 @@
 	log             *slog.Logger
 	bodyGracePeriod time.Duration
 	bodyBuffers     bodyBufferPool // for long request bodies
+	memory          *membudget.Budget
 	draining        atomic.Bool
 
 	roundRetryAfter bool // Retry-After is rounded up to whole seconds
@@ -43,7 +50,10 @@
 // New returns a server. name is its name in Proxy-Status. host is forwarded as the Host of a
 // request that has none or an empty one.
 func New(router Router, name, host string, log *slog.Logger) *Server {
-	s := &Server{router: router, name: name, defaultHost: host, log: log, bodyGracePeriod: defaultBodyGracePeriod}
+	s := &Server{
+		router: router, name: name, defaultHost: host, log: log, bodyGracePeriod: defaultBodyGracePeriod,
+		memory: membudget.New(defaultMemory),
+	}
 	s.bodyBuffers.setLimit(defaultBodyMemory)
 	return s
 }
@@ -52,6 +62,10 @@
 // platform's clients also read fractions. It must be called before Serve.
 func (s *Server) RoundRetryAfter() { s.roundRetryAfter = true }
 
+// SetMemory sets the budget from which requests and connections draw their memory, beyond the small
+// amount that each connection may use. Servers may share a budget. It must be called before Serve.
+func (s *Server) SetMemory(budget *membudget.Budget) { s.memory = budget }
+
 // SetBodyMemory sets how many bytes of long request bodies may be buffered at once, over all
 // connections. The rest is streamed to the endpoint as it arrives.
 func (s *Server) SetBodyMemory(bytes int) { s.bodyBuffers.setLimit(bytes) }
--- a/internal/httpserver/streamedbody.go
+++ b/internal/httpserver/streamedbody.go
@@ -3,20 +3,23 @@
 import (
 	"time"
 
+	"rowancart/internal/membudget"
 	"rowancart/internal/proxy"
 	"rowancart/internal/sharedbody"
 )
 
-// streamedBody is a request's body that is longer than proxy.MaxBody. Its beginning has been read.
+// streamedBody is a request's body that is longer than proxy.MaxBody, or for which there was no
+// memory. Its beginning has been read.
 // The rest is buffered as far as the limit of the buffers allows. What is not buffered is read
 // from the connection while the body is forwarded.
 type streamedBody struct {
 	*requestBody
 	length        int64 // bytes; negative: unknown
 	buffers       *bodyBufferPool
-	socket        socket    // of the connection
-	receivedAhead int64     // bytes received before the rest is streamed
-	sentAt        time.Time // result of SentAt, once the last byte is known to have arrived; zero before
+	memory        *membudget.Account // of the request
+	socket        socket             // of the connection
+	receivedAhead int64              // bytes received before the rest is streamed
+	sentAt        time.Time          // result of SentAt, once the last byte is known to have arrived; zero before
 
 	buffered [][]byte // from buffers; not changed after bufferAhead
 }
@@ -31,7 +34,7 @@
 	if b.length < 0 || b.length-total <= int64(maxBuffers)*bodyBufferSize {
 		n, err := b.fillBuffers(maxBuffers)
 		if err != nil {
-			b.buffers.put(b.buffered)
+			b.freeBuffers()
 			return nil, err
 		}
 		total += n
@@ -40,7 +43,7 @@
 		Length: b.length,
 		Parts:  append([][]byte{prefix}, b.buffered...),
 		Free: func() {
-			b.buffers.put(b.buffered)
+			b.freeBuffers()
 			if freePrefix != nil {
 				freePrefix()
 			}
@@ -95,8 +98,12 @@
 // fillBuffers reads into at most maxBuffers buffers and returns the number of bytes read.
 func (b *streamedBody) fillBuffers(maxBuffers int) (total int64, err error) {
 	for len(b.buffered) < maxBuffers && !b.ended() {
+		if !b.memory.TryReserve(bodyBufferSize, membudget.Receiving) {
+			break
+		}
 		buffer := b.buffers.get()
 		if buffer == nil {
+			b.memory.Release(bodyBufferSize)
 			break
 		}
 		n, err := b.readFull(buffer)
@@ -109,6 +116,12 @@
 	return total, nil
 }
 
+// freeBuffers gives back the buffers and their memory.
+func (b *streamedBody) freeBuffers() {
+	b.buffers.put(b.buffered)
+	b.memory.Release(len(b.buffered) * bodyBufferSize)
+}
+
 // timeLimit returns how long the rest of the body may take.
 func (b *streamedBody) timeLimit() time.Duration {
 	length := int64(proxy.MaxStreamedBody)
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -6,6 +6,7 @@
 
 	"rowancart/internal/admin"
 	"rowancart/internal/httpserver"
+	"rowancart/internal/membudget"
 	"rowancart/internal/platform"
 	"rowancart/internal/proxy"
 )
@@ -34,6 +35,9 @@
 	spareClientConns = 16
 	// connSides is the number of sides that share the remaining descriptors: clients and endpoints.
 	connSides = 2
+	// requestMemoryDivisor gives the memory that requests may reserve beyond what each connection may
+	// use without asking: the memory limit divided by it.
+	requestMemoryDivisor = 5
 	// minConns is the minimum number of connections on each side, however low the limits are.
 	minConns = 8
 
@@ -109,12 +113,19 @@
 	return l.MemoryMB * bytesPerMB / bodyMemoryDivisor / processes
 }
 
+// requestBytes returns how many bytes the requests of a process may reserve when the given number
+// of processes share the limits.
+func (l Limits) requestBytes(processes int) int64 {
+	return int64(l.MemoryMB * bytesPerMB / requestMemoryDivisor / processes)
+}
+
 // limitEnforcer applies this process's share of the limits to all components that consume them.
 type limitEnforcer struct {
 	limits   Limits
 	pool     *proxy.Pool
 	server   *httpserver.Server
 	listener *httpserver.Listener
+	memory   *membudget.Budget // of server
 }
 
 // apply sets the share of one process when the given number of processes share the limits.
@@ -122,6 +133,7 @@
 	debug.SetMemoryLimit(e.limits.heapBytes(processes))
 	e.pool.SetMaxConns(e.limits.maxConns(processes))
 	e.listener.SetMaxConns(e.limits.maxConns(processes))
+	e.memory.SetLimit(e.limits.requestBytes(processes))
 	e.server.SetBodyMemory(e.limits.bodyBytes(processes))
 	if processes > processesOutsideHandover {
 		debug.FreeOSMemory() // the other process needs its share now
--- a/internal/sidecar/limits_test.go
+++ b/internal/sidecar/limits_test.go
@@ -10,16 +10,18 @@
 		conns     int
 		heap      int64
 		bodies    int
+		requests  int64
 	}{
-		{limits, processesOutsideHandover, 224, 93952409, 16 << 20},
-		{limits, processesDuringHandover, 112, 46976204, 8 << 20},
-		{Limits{MemoryMB: 16, Sockets: 64}, processesOutsideHandover, minConns, 11744051, 2 << 20}, // the lowest of each
+		{limits, processesOutsideHandover, 224, 93952409, 16 << 20, 26843545},
+		{limits, processesDuringHandover, 112, 46976204, 8 << 20, 13421772},
+		{Limits{MemoryMB: 16, Sockets: 64}, processesOutsideHandover, minConns, 11744051, 2 << 20, 3355443}, // lowest
 	} {
 		conns := c.limits.maxConns(c.processes)
 		heap, bodies := c.limits.heapBytes(c.processes), c.limits.bodyBytes(c.processes)
-		if conns != c.conns || heap != c.heap || bodies != c.bodies {
-			t.Errorf("%+v, %d processes: got %d connections, %d bytes of heap and %d bytes of bodies",
-				c.limits, c.processes, conns, heap, bodies)
+		requests := c.limits.requestBytes(c.processes)
+		if conns != c.conns || heap != c.heap || bodies != c.bodies || requests != c.requests {
+			t.Errorf("%+v, %d processes: got %d connections, %d bytes of heap, %d bytes of bodies and %d bytes of requests",
+				c.limits, c.processes, conns, heap, bodies, requests)
 		}
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -16,6 +16,7 @@
 	"rowancart/internal/hotrestart"
 	"rowancart/internal/httpserver"
 	"rowancart/internal/logkey"
+	"rowancart/internal/membudget"
 	"rowancart/internal/metrics"
 	"rowancart/internal/platform"
 	"rowancart/internal/proxy"
@@ -35,6 +36,7 @@
 	server    *httpserver.Server
 	listener  *httpserver.Listener
 	pool      *proxy.Pool
+	memory    *membudget.Budget // that all clients' connections share
 	discovery *watch.Client
 	admin     *admin.Server // nil: there is no admin interface
 	counters  *metrics.Counters
@@ -59,7 +61,9 @@
 	s.listener = httpserver.NewWaitingListener(opened.clients, maxConns, maxConns+spareClientConns)
 	router := newRequestRouter(s.pool, c.Settings.Classes)
 	s.counters = router.counters
+	s.memory = membudget.New(c.Limits.requestBytes(processesOutsideHandover))
 	s.server = httpserver.New(router, serverName, c.Listen, log)
+	s.server.SetMemory(s.memory)
 
 	operations := &operations{
 		pool:      s.pool,
@@ -152,7 +156,7 @@
 // joinHandover applies the limits and registers this process among the processes of its sidecar.
 func (s *Sidecar) joinHandover(c Config, operations *operations, log *slog.Logger) {
 	s.handover = &handover{
-		limits:     &limitEnforcer{limits: c.Limits, pool: s.pool, server: s.server, listener: s.listener},
+		limits:     &limitEnforcer{limits: c.Limits, pool: s.pool, server: s.server, listener: s.listener, memory: s.memory},
 		server:     s.server,
 		listener:   s.listener,
 		operations: operations,
--- /dev/null
+++ b/internal/stress/endpoints_test.go
@@ -0,0 +1,142 @@
+package stress
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+)
+
+const (
+	endpointCount = 4
+	pieceSize     = 16 << 10 // bytes that an endpoint or a client writes at once
+	// endpointBuffer is the size of an endpoint's socket buffers, small enough that little data
+	// waits in the kernel.
+	endpointBuffer = 32 << 10
+)
+
+var piece = []byte(strings.Repeat("a", pieceSize))
+
+// endpoint is a server whose responses are written by a test. It records which requests it has
+// received completely.
+type endpoint struct {
+	addr string
+
+	mu       sync.Mutex
+	received map[string]int // requests, by id
+}
+
+// responder writes the response to a request, and reads its body before. It reports whether the
+// connection stays open.
+type responder func(conn net.Conn, r *http.Request) (keepConn bool)
+
+// startEndpoints starts endpoints that all respond in the same way, and returns them and their
+// addresses.
+func startEndpoints(t *testing.T, respond responder) (endpoints []*endpoint, addrs []string) {
+	t.Helper()
+	for range endpointCount {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		e := &endpoint{addr: l.Addr().String(), received: map[string]int{}}
+		go e.accept(l, respond)
+		endpoints = append(endpoints, e)
+		addrs = append(addrs, e.addr)
+	}
+	return endpoints, addrs
+}
+
+func (e *endpoint) accept(l net.Listener, respond responder) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_ = conn.(*net.TCPConn).SetReadBuffer(endpointBuffer)
+		_ = conn.(*net.TCPConn).SetWriteBuffer(endpointBuffer)
+		go e.serve(conn, respond)
+	}
+}
+
+func (e *endpoint) serve(conn net.Conn, respond responder) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		keepConn := respond(conn, r)
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.received[r.Header.Get("Req-Id")]++
+		e.mu.Unlock()
+		if !keepConn {
+			return
+		}
+	}
+}
+
+// respondOK reads the body and writes a short response.
+func respondOK(conn net.Conn, r *http.Request) bool {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return false
+	}
+	_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	return err == nil
+}
+
+// respondWithLength returns a responder that writes a response of known length.
+func respondWithLength(length int) responder {
+	return func(conn net.Conn, _ *http.Request) bool {
+		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", length); err != nil {
+			return false
+		}
+		for left := length; left > 0; left -= pieceSize {
+			if _, err := conn.Write(piece[:min(left, pieceSize)]); err != nil {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// respondInChunks returns a responder that writes a chunked response of the given length.
+func respondInChunks(length int) responder {
+	return func(conn net.Conn, _ *http.Request) bool {
+		if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
+			return false
+		}
+		for left := length; left > 0; left -= pieceSize {
+			if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", pieceSize, piece); err != nil {
+				return false
+			}
+		}
+		_, err := io.WriteString(conn, "0\r\n\r\n")
+		return err == nil
+	}
+}
+
+// respondUntilClose returns a responder that writes a response of the given length, which ends with
+// the connection.
+func respondUntilClose(length int) responder {
+	return func(conn net.Conn, _ *http.Request) bool {
+		if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"); err != nil {
+			return false
+		}
+		for left := length; left > 0; left -= pieceSize {
+			if _, err := conn.Write(piece); err != nil {
+				return false
+			}
+		}
+		return false
+	}
+}
