Make room for new connections by closing those that are silent

Cause: only connections that were idle after a first request made room; a silent one kept its place for requestHeadTimeout.

Change: the longest silent connection makes room, after 100 ms, before idle ones. Empty lines do not begin a request. A client that speaks keeps its connection, and a request that has arrived is served.

--- a/internal/httpserver/drain.go
+++ b/internal/httpserver/drain.go
@@ -122,7 +122,7 @@
 	defer l.mu.Unlock()
 	for c := range l.conns {
 		idle := c.state == http.StateIdle && time.Since(c.since) >= minIdle
-		silent := c.state == http.StateNew && time.Since(c.since) > newConnTimeout
+		silent := c.silent && time.Since(c.since) > newConnTimeout
 		if c.awaitsRequest() && (idle || silent) {
 			c.startClosing()
 		}
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -9,8 +9,12 @@
 	"time"
 )
 
-// Listener accepts client connections and limits their number. Beyond the limit, it closes the
-// connection that has been idle for longest. Drain closes all connections as they become idle.
+// minSilence is how long after it was accepted a connection without data is closed rather than an
+// idle one. Clients that open a connection for a request send it at once.
+const minSilence = 100 * time.Millisecond
+
+// Listener accepts client connections and limits their number. Beyond the limit, it closes
+// connections that are silent or idle. Drain closes all connections as they become idle.
 //
 // It never closes a connection on which a request has just been read. The server may be about to
 // read the next request on a connection that is still marked idle. The listener therefore only
@@ -31,7 +35,7 @@
 	acceptingSince time.Time     // when the accept in progress began; zero: no accept is in progress
 }
 
-// NewListener returns a Listener that closes idle connections while there are more than maxConns.
+// NewListener returns a Listener that closes connections while there are more than maxConns.
 func NewListener(l net.Listener, maxConns int) *Listener {
 	return &Listener{Listener: l, maxConns: maxConns, conns: map[*trackedConn]bool{}, closed: make(chan struct{})}
 }
@@ -46,7 +50,7 @@
 }
 
 // NewSheddingListener returns a Listener like that of NewListener which rejects a new connection
-// at once, with 503, if maxConns are open and none of them is idle.
+// at once, with 503, if maxConns are open and none of them can be closed.
 func NewSheddingListener(l net.Listener, maxConns int) *Listener {
 	shedding := NewListener(l, maxConns)
 	shedding.rejector = newConnRejector()
@@ -176,7 +180,7 @@
 
 // register adds a connection to the open ones. It returns nil if the connection must be rejected.
 func (l *Listener) register(nc net.Conn) *trackedConn {
-	c := &trackedConn{Conn: nc, listener: l, state: http.StateNew, since: time.Now()}
+	c := &trackedConn{Conn: nc, listener: l, state: http.StateNew, silent: true, since: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = true
@@ -203,22 +207,45 @@
 	}
 }
 
-// enforceMaxConns closes the connection that has been idle for longest if more than maxConns are
-// open. It returns false if too many are open and none of them is idle. The caller must hold l.mu.
+// enforceMaxConns closes a connection if more than maxConns are open: see connToClose. It returns
+// false if too many are open and none of them can be closed. The caller must hold l.mu.
 func (l *Listener) enforceMaxConns() bool {
 	if len(l.conns) <= l.maxConns {
 		return true
 	}
-	var oldest *trackedConn
+	victim := l.connToClose(time.Now())
+	if victim == nil {
+		return false
+	}
+	victim.startClosing()
+	return true
+}
+
+// connToClose returns the connection that is closed to make room for another: the one that has been
+// silent for longest since it was accepted, if that is minSilence, otherwise the one that has been
+// idle for longest, otherwise any that is silent. A client that has begun to send a request keeps
+// its connection. The caller must hold l.mu.
+func (l *Listener) connToClose(now time.Time) *trackedConn {
+	var silent, idle *trackedConn
 	for c := range l.conns {
-		isIdle := c.state == http.StateIdle && c.awaitsRequest()
-		if isIdle && (oldest == nil || c.since.Before(oldest.since)) {
-			oldest = c
+		switch {
+		case c.closing:
+		case c.silent:
+			silent = olderConn(silent, c)
+		case c.state == http.StateIdle && c.awaitsRequest():
+			idle = olderConn(idle, c)
 		}
 	}
-	if oldest == nil {
-		return false
+	if idle == nil || silent != nil && now.Sub(silent.since) >= minSilence {
+		return silent
 	}
-	oldest.startClosing()
-	return true
+	return idle
+}
+
+// olderConn returns the connection that has been in its state for longer; c may be nil.
+func olderConn(c, d *trackedConn) *trackedConn {
+	if c == nil || d.since.Before(c.since) {
+		return d
+	}
+	return c
 }
--- a/internal/httpserver/listener_test.go
+++ b/internal/httpserver/listener_test.go
@@ -108,3 +108,66 @@
 		t.Errorf("read of the request: %d bytes, %v", n, err)
 	}
 }
+
+// Guards against peers that send nothing and so keep the places of clients that speak.
+func TestSilentConnectionMakesRoomBeforeIdleOnes(t *testing.T) {
+	now := time.Now()
+	conn := func(state http.ConnState, silent bool, age time.Duration) *trackedConn {
+		return &trackedConn{state: state, silent: silent, since: now.Add(-age)}
+	}
+	longSilent := conn(http.StateNew, true, 2*minSilence)
+	silent := conn(http.StateNew, true, minSilence)
+	justAccepted := conn(http.StateNew, true, minSilence/2)
+	idle := conn(http.StateIdle, false, time.Minute)
+	speaking := conn(http.StateNew, false, time.Minute)
+	active := conn(http.StateActive, false, time.Minute)
+	closing := conn(http.StateNew, true, time.Minute)
+	closing.closing = true
+	pipelining := conn(http.StateIdle, false, time.Minute)
+	pipelining.readSinceWrite = true
+	for name, c := range map[string]struct {
+		conns []*trackedConn
+		want  *trackedConn
+	}{
+		"the longest silent":  {[]*trackedConn{silent, longSilent, justAccepted, idle, speaking}, longSilent},
+		"an idle one":         {[]*trackedConn{justAccepted, idle, speaking, active}, idle},
+		"one just accepted":   {[]*trackedConn{justAccepted, speaking, active, closing}, justAccepted},
+		"none with a request": {[]*trackedConn{speaking, active, closing, pipelining}, nil},
+	} {
+		l := NewListener(nil, 0)
+		for _, tracked := range c.conns {
+			l.conns[tracked] = true
+		}
+		if got := l.connToClose(now); got != c.want {
+			t.Errorf("%s: %+v is closed, want %+v", name, got, c.want)
+		}
+	}
+}
+
+// Empty lines before the first request do not make a peer a client, and its first byte does.
+func TestConnectionIsSilentUntilItsFirstRequestBegins(t *testing.T) {
+	l := NewListener(listen(t), 100)
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	nc, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	for _, c := range []struct {
+		text   string
+		silent bool
+	}{{"\r\n", true}, {"G", false}, {"\r\n", false}} {
+		io.WriteString(client, c.text)
+		if _, err := io.ReadFull(nc, make([]byte, len(c.text))); err != nil {
+			t.Fatal(err)
+		}
+		if got := nc.(*trackedConn).silent; got != c.silent {
+			t.Errorf("after %q the connection counts as silent: %v, want %v", c.text, got, c.silent)
+		}
+	}
+}
--- a/internal/httpserver/trackedconn.go
+++ b/internal/httpserver/trackedconn.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -24,6 +25,7 @@
 
 	// listener.mu guards the fields below.
 	state          http.ConnState // StateNew until the first request
+	silent         bool           // nothing of a first request has been read yet
 	since          time.Time      // when the connection was accepted or became idle
 	readSinceWrite bool           // a request, or the beginning of one, has been read since the last write
 	closing        bool           // the next read that returns no data ends the connection
@@ -64,7 +66,8 @@
 	}
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	if n > 0 {
+	if n > 0 && !(c.silent && isBlank(b[:n])) { // empty lines before the first request do not begin it
+		c.silent = false
 		c.readSinceWrite = true
 		if c.closing { // a request has arrived before the close, so it is served
 			c.closing = false
@@ -77,6 +80,9 @@
 	return n, err
 }
 
+// isBlank reports whether data consists of line ends only.
+func isBlank(data []byte) bool { return len(bytes.Trim(data, "\r\n")) == 0 }
+
 // SetReadDeadline implements net.Conn. While the connection is closing, it does nothing: the
 // server sets a deadline right after it has marked a connection idle, and that must not undo
 // startClosing.
--- a/internal/stress/endpoints_test.go
+++ b/internal/stress/endpoints_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
 const (
@@ -94,6 +95,14 @@
 	return err == nil
 }
 
+// respondAfter is respondOK after a delay.
+func respondAfter(delay time.Duration) responder {
+	return func(conn net.Conn, r *http.Request) bool {
+		time.Sleep(delay)
+		return respondOK(conn, r)
+	}
+}
+
 // respondWithLength returns a responder that writes a response of known length.
 func respondWithLength(length int) responder {
 	return func(conn net.Conn, _ *http.Request) bool {
