Track the tenants of rate limits by a hash of their names

Callers saw: one client that invents tenant names on one connection makes the daemon pass its memory limit within half a second.

Cause: up to 10,000 names a route were map keys cut out of the head of their request, up to 16 KiB each.

Change: a keyed 64-bit hash in place of the name.

--- a/internal/ratelimit/flow.go
+++ b/internal/ratelimit/flow.go
@@ -9,7 +9,7 @@
 // flow is the state of a set of requests that have common limits: the requests of the route, of
 // one tenant, or of all tenants that are not tracked.
 type flow struct {
-	tenant   string        // empty unless the flow belongs to a single tenant
+	key      uint64        // hash of the tenant's name, if the flow belongs to a single tenant
 	bucket   *rate.Limiter // nil: the rate is not limited
 	inFlight int           // requests
 }
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -5,6 +5,7 @@
 
 import (
 	"container/list"
+	"hash/maphash"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -56,8 +57,9 @@
 type Limiter struct {
 	limits    Limits
 	route     flow
-	untracked flow                     // common to all tenants that are not tracked
-	tenants   map[string]*list.Element // elements of lru, by tenant
+	untracked flow // common to all tenants that are not tracked
+	seed      maphash.Seed
+	tenants   map[uint64]*list.Element // elements of lru, by the hash of the tenant's name
 	lru       *list.List               // values of type *flow: the tracked tenants, the most recently used first
 }
 
@@ -66,7 +68,7 @@
 
 // New returns a limiter that has admitted nothing yet.
 func New(limits Limits) *Limiter {
-	l := &Limiter{tenants: map[string]*list.Element{}, lru: list.New()}
+	l := &Limiter{seed: maphash.MakeSeed(), tenants: map[uint64]*list.Element{}, lru: list.New()}
 	l.Configure(time.Time{}, limits)
 	return l
 }
@@ -145,9 +147,11 @@
 // that its flow is unused (no request is in flight, and no token is missing), so that dropping it
 // changes nothing for that tenant. Otherwise the new tenant is not tracked, and shares one flow
 // with all other tenants that are not tracked. So a client that invents tenant names gets one
-// quota for all of them, and uses no memory.
+// quota for all of them, and uses no memory. A name is kept only as its hash: it may be long, and
+// keep the whole head of its request in memory.
 func (l *Limiter) tenantFlow(now time.Time, tenant string) *flow {
-	if e := l.tenants[tenant]; e != nil {
+	key := maphash.String(l.seed, tenant)
+	if e := l.tenants[key]; e != nil {
 		l.lru.MoveToFront(e)
 		return e.Value.(*flow)
 	}
@@ -158,10 +162,10 @@
 			return &l.untracked
 		}
 		l.lru.Remove(oldest)
-		delete(l.tenants, f.tenant)
+		delete(l.tenants, f.key)
 	}
-	f := &flow{tenant: tenant}
+	f := &flow{key: key}
 	f.setRate(now, l.limits.TenantRate)
-	l.tenants[tenant] = l.lru.PushFront(f)
+	l.tenants[key] = l.lru.PushFront(f)
 	return f
 }
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -180,3 +182,22 @@
 		}
 	})
 }
+
+// Guards against tenants whose long names, and the heads that they are cut from, stay in memory: a
+// client that invents names could end the process.
+func TestTrackedTenantsKeepNoNames(t *testing.T) {
+	const nameSize, maxBytesPerTenant = 8 << 10, 1 << 10
+	l := New(Limits{TenantRate: Rate{PerSecond: 5}})
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range DefaultTenants {
+		l.Acquire(start, strings.Repeat("x", nameSize)+fmt.Sprint(i))
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	growth := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+	if _, tenants := l.Usage(); tenants != DefaultTenants || growth > maxBytesPerTenant*DefaultTenants {
+		t.Errorf("%d tenants hold %d bytes, want %d and at most %d bytes each", tenants, growth, DefaultTenants, maxBytesPerTenant)
+	}
+}
