Bound one connection's share of work for requests that need no endpoint

Callers saw: while one client sends duplicates, requests without time, health checks or unknown classes at full speed on one connection, others' median latency at the sidecar rose from 21 to 50 ms, the longest to 103 ms.

Cause: nothing bounded how many requests one connection has answered without an endpoint; some 90,000 a second took the one core.

Requests that endpoints serve are not touched.

--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -34,6 +34,8 @@
 	lastRequest bool // the current request is the last: its response closes the connection
 
 	requestMemory *membudget.Account // of the current request
+	unserved      bool               // the current request was answered without an endpoint
+	share         workShare
 
 	requestStart time.Time // when the connection was accepted, or the first byte of its current request was read
 	responseDue  bool      // the current request's head has been read or rejected, so it must get a response
@@ -74,6 +76,7 @@
 		if !c.serveRequest() {
 			return
 		}
+		c.pauseIfUnserved()
 		if !c.reader.hasData() { // otherwise the next request is already buffered
 			l.setState(nc, http.StateIdle)
 		}
@@ -83,6 +86,16 @@
 	}
 }
 
+// pauseIfUnserved keeps the connection to its share of work for requests that need no endpoint.
+func (c *conn) pauseIfUnserved() {
+	if !c.unserved {
+		return
+	}
+	if pause := c.share.pauseAfterUnserved(time.Now()); pause > 0 {
+		time.Sleep(pause)
+	}
+}
+
 // respondAfterPanic responds to the request whose handling has panicked, unless its response has
 // begun. An endpoint may have processed the request, so the status must not be one that promises
 // clients a safe retry.
@@ -128,6 +141,7 @@
 // carry another request.
 func (c *conn) serveRequest() bool {
 	c.responseDue = false
+	c.unserved = true
 	c.requestMemory = c.server.memory.NewAccount()
 	defer c.releaseMemory()
 	r, err := c.readRequestHead()
@@ -268,6 +282,7 @@
 	defer f.message.Body.Release()
 	c.disconnect.start(func() { f.target.Pool.ClientDisconnected(f.call) })
 	result := f.target.Pool.Do(f.call)
+	c.unserved = result.Kind == proxy.Rejected || result.Kind == proxy.Duplicate
 	if c.disconnect.stop() {
 		c.lastRequest = true
 	}
