Do not let a new connection make room for itself, nor close more than needed

Change: the accepted connection is no candidate; connections that are closing already count as room, up to a quarter of the limit, so that no idle client is closed while silent peers are on their way out.

--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -10,6 +10,13 @@
 	"time"
 )
 
+// While at most 1 / closingDivisor of the connections, or minClosing, are closing to make room for
+// others, new ones are accepted beyond the limit.
+const (
+	closingDivisor = 4
+	minClosing     = 8
+)
+
 // Listener accepts client connections and limits their number. Beyond the limit, it closes
 // connections that are silent or idle. Drain closes all connections as they become idle.
 //
@@ -181,7 +188,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = true
-	if !l.enforceMaxConns() && l.rejector != nil {
+	if !l.enforceMaxConns(c) && l.rejector != nil {
 		delete(l.conns, c)
 		l.rejected++
 		return nil
@@ -197,20 +204,25 @@
 	switch state {
 	case http.StateIdle:
 		c.since = time.Now()
-		l.enforceMaxConns()
+		l.enforceMaxConns(nil)
 	case http.StateClosed:
 		delete(l.conns, c)
 		l.releaseSlot()
 	}
 }
 
-// enforceMaxConns closes a connection if more than maxConns are open: see connToClose. It returns
-// false if too many are open and none of them can be closed. The caller must hold l.mu.
-func (l *Listener) enforceMaxConns() bool {
+// enforceMaxConns closes a connection if more than maxConns are open and not closing yet. It returns
+// false if none of them can be closed, or too many are closing already. accepted is the connection
+// for which room is made, or nil. The caller must hold l.mu.
+func (l *Listener) enforceMaxConns(accepted *trackedConn) bool {
 	if len(l.conns) <= l.maxConns {
 		return true
 	}
-	victim := l.connToClose()
+	candidates := l.connsToClose(accepted)
+	if len(l.conns)-candidates.closing <= l.maxConns {
+		return candidates.closing <= max(l.maxConns/closingDivisor, minClosing)
+	}
+	victim := cmp.Or(candidates.silent, candidates.idle)
 	if victim == nil {
 		return false
 	}
@@ -218,22 +230,28 @@
 	return true
 }
 
-// connToClose returns the connection that is closed to make room for another: the one that has been
-// silent for longest since it was accepted, or, if none is silent, the one that has been idle for
-// longest. A client that has begun to send a request keeps its connection. The caller must hold
-// l.mu.
-func (l *Listener) connToClose() *trackedConn {
-	var silent, idle *trackedConn
+// closeCandidates are the connections of which one is closed to make room for another.
+type closeCandidates struct {
+	silent  *trackedConn // silent for longest since it was accepted; nil: none is
+	idle    *trackedConn // idle for longest, which is closed if none is silent; nil: none is
+	closing int          // number of connections that are closing already
+}
+
+// connsToClose returns the candidates. A client that has begun to send a request keeps its
+// connection, and so does accepted. The caller must hold l.mu.
+func (l *Listener) connsToClose(accepted *trackedConn) (found closeCandidates) {
 	for c := range l.conns {
 		switch {
 		case c.closing:
+			found.closing++
+		case c == accepted:
 		case c.silent:
-			silent = olderConn(silent, c)
+			found.silent = olderConn(found.silent, c)
 		case c.state == http.StateIdle && c.awaitsRequest():
-			idle = olderConn(idle, c)
+			found.idle = olderConn(found.idle, c)
 		}
 	}
-	return cmp.Or(silent, idle)
+	return found
 }
 
 // olderConn returns the connection that has been in its state for longer; c may be nil.
