Share the ids of recent requests between the processes of an upgrade

Cause: the ids were memory of one process, and counted whether anything could have run or not.

Change: the set is a file that both processes map (sidecar: shared directory; daemon: an inherited anonymous file). An id whose call ended without an attempt is removed again, so that rejected requests push nothing out.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,6 +51,7 @@
 	handover handover
 
 	requestIDs requestIDs
+	recentIDs  sharedIDs
 	restored   restoredSnapshot // snapshot for the first pools; zero once Run has started them
 	snapshots  snapshotWriter
 
@@ -108,6 +109,9 @@
 		memory:    membudget.New(requestMemory(c)),
 	}
 	d.requestIDs.prefix = d.seed
+	if d.recentIDs, err = openSharedIDs(d.handover.inheritFile(recentIDsFile)); err != nil {
+		d.log.Warn("recent ids not shared", logkey.Err, err)
+	}
 	d.metrics = newMetrics(d)
 	d.logWarnings(c)
 	d.restored = restoreSnapshot(c, d.log)
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -41,6 +41,14 @@
 	return h.predecessor.Listener(address)
 }
 
+// inheritFile returns the predecessor's file with a name, or nil if there is no such file.
+func (h *handover) inheritFile(name string) *os.File {
+	if h.predecessor == nil {
+		return nil
+	}
+	return h.predecessor.File(name)
+}
+
 // notifyPredecessor tells the predecessor, if there is one, that this process is serving.
 func (h *handover) notifyPredecessor() error {
 	if h.predecessor == nil {
@@ -69,7 +77,7 @@
 	timeout := d.current.config.Limits.HandoverTimeout
 	sockets := d.openSockets()
 	d.mu.RUnlock()
-	s, err := successor.Start(d.handover.newSuccessor(), sockets)
+	s, err := successor.Start(d.handover.newSuccessor(), sockets, d.recentIDs.files())
 	if err == nil {
 		d.log.Info("handover started", logkey.PID, s.Pid, logkey.Timeout, timeout)
 		err = s.Wait(ctx, timeout)
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -16,6 +16,7 @@
 	"rowancart/internal/logkey"
 	"rowancart/internal/platform"
 	"rowancart/internal/proxy"
+	"rowancart/internal/recentids"
 	"rowancart/internal/subset"
 )
 
@@ -32,6 +33,7 @@
 	proxy    *proxy.Pool
 	log      *slog.Logger
 	seed     uint64
+	ids      *recentids.Set // of recent requests of all pools
 	restored restoredPool
 	filter   endpointFilter
 	source   sourceStatus
@@ -168,6 +170,7 @@
 		name:     c.Name,
 		settings: poolSettings{config: c, fleet: g.config.Fleet, tenants: g.config.Tenants},
 		seed:     d.seed,
+		ids:      d.recentIDs.set,
 		log:      d.log.With(logkey.Pool, c.Name),
 		restored: d.restored.pool(c.Name),
 	}
@@ -258,6 +261,8 @@
 		DialTimeout: c.DialTimeout,
 		MaxConns:    c.MaxConns,
 		PassThrough: true,
+		RecentIDs:   p.ids,
+		IDScope:     p.name,
 		Subscribe:   func() {},
 		Log:         p.log,
 	}
--- a/internal/hotrestart/shareddir.go
+++ b/internal/hotrestart/shareddir.go
@@ -17,6 +17,7 @@
 	sharedDirPrefix = "rowancart-" // followed by the escaped name of the sidecar
 	disabledDir     = "bans"       // directory with one empty file for each disabled endpoint
 	snapshotFile    = "learned"
+	recentIDsFile   = "recent-ids"
 )
 
 // maxDisabledIDBytes is the maximum length in bytes of an endpoint ID that Disable records. The ID
@@ -74,6 +75,19 @@
 // successor reads it, both by package snapshot.
 func (d *SharedDir) SnapshotPath() string { return filepath.Join(d.path, snapshotFile) }
 
+// OpenRecentIDs opens the file in which the processes keep the ids of recent requests, and creates
+// it if needed. Package recentids defines its content.
+func (d *SharedDir) OpenRecentIDs() (*os.File, error) {
+	if err := d.Create(); err != nil {
+		return nil, err
+	}
+	file, err := os.OpenFile(filepath.Join(d.path, recentIDsFile), os.O_CREATE|os.O_RDWR|syscall.O_CLOEXEC, 0o600)
+	if err != nil {
+		return nil, wrapError(err)
+	}
+	return file, nil
+}
+
 // disabledPath returns the path of the file whose existence says that an endpoint is disabled.
 func (d *SharedDir) disabledPath(id string) string {
 	return filepath.Join(d.path, disabledDir, hex.EncodeToString([]byte(id)))
--- a/internal/hotrestart/successor/predecessor.go
+++ b/internal/hotrestart/successor/predecessor.go
@@ -13,13 +13,14 @@
 // pipe on which it reports readiness. Its methods must not be called concurrently.
 type Predecessor struct {
 	sockets map[string]*os.File // by address; Listener removes those that it returns
+	files   map[string]*os.File // other files, by name; File removes those that it returns
 	ready   *os.File            // readiness pipe; nil if there is no predecessor or Ready was called
 }
 
 // Inherit returns what this process inherits, which is nothing if it has no predecessor. It must be
 // called once, before this process starts others: they would inherit the descriptors too.
 func Inherit() (*Predecessor, error) {
-	p := &Predecessor{sockets: map[string]*os.File{}}
+	p := &Predecessor{sockets: map[string]*os.File{}, files: map[string]*os.File{}}
 	text, ok := os.LookupEnv(inheritVariable)
 	if !ok {
 		return p, nil
@@ -32,6 +33,9 @@
 	for address, fd := range inherited.Addresses {
 		p.sockets[address] = openInherited(fd, address)
 	}
+	for name, fd := range inherited.Files {
+		p.files[name] = openInherited(fd, name)
+	}
 	if inherited.Ready > 0 {
 		p.ready = openInherited(inherited.Ready, "ready")
 	}
@@ -61,12 +65,22 @@
 	return l, nil
 }
 
-// Ready tells the predecessor that this process serves requests, and closes the sockets for which
-// Listener was not called. Further calls do nothing.
+// File returns the predecessor's file with a name, or nil if there is none. The caller must close
+// it.
+func (p *Predecessor) File(name string) *os.File {
+	f := p.files[name]
+	delete(p.files, name)
+	return f
+}
+
+// Ready tells the predecessor that this process serves requests, and closes the sockets and files
+// for which Listener or File was not called. Further calls do nothing.
 func (p *Predecessor) Ready() error {
-	for address, f := range p.sockets {
-		f.Close()
-		delete(p.sockets, address)
+	for _, unused := range []map[string]*os.File{p.sockets, p.files} {
+		for name, f := range unused {
+			f.Close()
+			delete(unused, name)
+		}
 	}
 	if p.ready == nil {
 		return nil
--- a/internal/hotrestart/successor/successor.go
+++ b/internal/hotrestart/successor/successor.go
@@ -35,8 +35,9 @@
 
 // inheritedDescriptors holds the numbers of the inherited descriptors.
 type inheritedDescriptors struct {
-	Addresses map[string]int `json:"addresses"` // listening sockets, by address
-	Ready     int            `json:"ready"`     // write end of the pipe on which the successor reports readiness
+	Addresses map[string]int `json:"addresses"`       // listening sockets, by address
+	Files     map[string]int `json:"files,omitempty"` // other files, by name; a predecessor may pass none
+	Ready     int            `json:"ready"`           // write end of the pipe on which the successor reports readiness
 }
 
 const (
@@ -65,8 +66,9 @@
 }
 
 // Start starts a command as the successor. It inherits the sockets of the listeners, which are
-// keyed by address, and keeps them open even if this process exits. The caller must call Wait.
-func Start(command *exec.Cmd, listeners map[string]net.Listener) (*Successor, error) {
+// keyed by address, and keeps them open even if this process exits. It also inherits files, which
+// are keyed by name. The caller must call Wait.
+func Start(command *exec.Cmd, listeners map[string]net.Listener, files map[string]*os.File) (*Successor, error) {
 	var extra []*os.File // inherited by the successor
 	defer func() {
 		// This closes the write end of the readiness pipe too: while this process holds it open,
@@ -75,7 +77,7 @@
 			f.Close()
 		}
 	}()
-	inherited := inheritedDescriptors{Addresses: map[string]int{}}
+	inherited := inheritedDescriptors{Addresses: map[string]int{}, Files: map[string]int{}}
 	for address, l := range listeners {
 		f, err := duplicateSocket(l)
 		if err != nil {
@@ -84,6 +86,14 @@
 		inherited.Addresses[address] = firstExtraFD + len(extra)
 		extra = append(extra, f)
 	}
+	for name, file := range files {
+		f, err := duplicateDescriptor(file, name)
+		if err != nil {
+			return nil, fmt.Errorf("handover: %s: %w", name, err)
+		}
+		inherited.Files[name] = firstExtraFD + len(extra)
+		extra = append(extra, f)
+	}
 	ready, readyWriter, err := os.Pipe()
 	if err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
@@ -120,6 +130,11 @@
 	if !ok {
 		return nil, fmt.Errorf("listener of type %T has no socket that can be inherited", l)
 	}
+	return duplicateDescriptor(conn, l.Addr().String())
+}
+
+// duplicateDescriptor returns a file with the given name for a duplicate of a descriptor.
+func duplicateDescriptor(conn syscall.Conn, name string) (*os.File, error) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return nil, err
@@ -130,7 +145,7 @@
 	if err != nil || dupErr != nil {
 		return nil, errors.Join(err, dupErr)
 	}
-	return os.NewFile(uintptr(fd), l.Addr().String()), nil
+	return os.NewFile(uintptr(fd), name), nil
 }
 
 // Wait returns nil once the successor has reported that it serves requests. If the timeout expires,
--- a/internal/hotrestart/successor/successor_test.go
+++ b/internal/hotrestart/successor/successor_test.go
@@ -81,7 +81,7 @@
 	t.Helper()
 	command := exec.Command(os.Args[0])
 	command.Env = append(os.Environ(), behaviorVariable+"="+behavior)
-	s, err := Start(command, map[string]net.Listener{"main": l})
+	s, err := Start(command, map[string]net.Listener{"main": l}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -19,12 +19,14 @@
 
 // Options configure a Pool, except for its Balancer, which balancer.Settings configure.
 type Options struct {
-	IdleTimeout time.Duration // after which endpoints close an idle connection; 0: unknown, use connpool's default
-	DialTimeout time.Duration // after which a dial fails; 0: the connection pool's default
-	MaxConns    int           // maximum number of open connections, including idle ones and dials in progress
-	Quarantine  time.Duration // minimum time from a response to its connection's reuse, to detect a second response
-	PassThrough bool          // forward all responses below 500; else only 200, with only its Content-Type header
-	Subscribe   func()        // subscribes permanently to all changes of the endpoint list; must not block
+	IdleTimeout time.Duration  // after which endpoints close an idle connection; 0: unknown, use connpool's default
+	DialTimeout time.Duration  // after which a dial fails; 0: the connection pool's default
+	MaxConns    int            // maximum number of open connections, including idle ones and dials in progress
+	Quarantine  time.Duration  // minimum time from a response to its connection's reuse, to detect a second response
+	PassThrough bool           // forward all responses below 500; else only 200, with only its Content-Type header
+	RecentIDs   *recentids.Set // ids of requests, which other pools and processes may share; nil: the Pool has its own
+	IDScope     string         // name of the Pool among those that share RecentIDs: each has its own ids
+	Subscribe   func()         // subscribes permanently to all changes of the endpoint list; must not block
 	Log         *slog.Logger
 
 	dialContext connpool.DialFunc // set by tests; nil: use a net.Dialer
@@ -91,7 +93,7 @@
 		subscribe:     o.Subscribe,
 		log:           o.Log,
 		cancelAllowed: s.CancelAllowed,
-		calls:         callSet{byID: map[string]*Call{}, recentIDs: recentids.New()},
+		calls:         newCallSet(o),
 		endpoints:     newEndpointSet(c),
 		unserved:      unservedLog{log: o.Log, byReason: map[balancer.Reason]*unservedCount{}},
 	}
--- a/internal/recentids/recentids.go
+++ b/internal/recentids/recentids.go
@@ -1,5 +1,5 @@
 // Package recentids remembers the ids of recent requests in memory of a fixed size, so that a
-// request whose id comes again is recognized.
+// request whose id comes again is recognized. Processes can share a set, through a file.
 //
 // The set holds a keyed fingerprint of each id instead of the id itself: an id is a part of the
 // text of its request's head, which would stay in memory as a whole. An id that was never added is
@@ -65,6 +65,16 @@
 	return true
 }
 
+// Remove removes an id, so that it can be added again.
+func (s *Set) Remove(id string) {
+	bucket, fingerprint := s.locate(id)
+	for i := range bucket {
+		if slot := atomic.LoadUint64(&bucket[i]); slot&^sequenceMask == fingerprint {
+			atomic.CompareAndSwapUint64(&bucket[i], slot, 0)
+		}
+	}
+}
+
 // locate returns the bucket of an id and its fingerprint, which is not 0.
 func (s *Set) locate(id string) (bucket []uint64, fingerprint uint64) {
 	text := make([]byte, 0, maxTextSize)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -20,6 +20,7 @@
 	"rowancart/internal/metrics"
 	"rowancart/internal/platform"
 	"rowancart/internal/proxy"
+	"rowancart/internal/recentids"
 )
 
 const (
@@ -141,6 +142,10 @@
 		},
 		Log: log,
 	})
+	recentIDs, err := openRecentIDs(c)
+	if err != nil {
+		log.Warn("recent ids not shared", logkey.Err, err)
+	}
 	known := c.KnownEndpoints
 	known.Complete = true // the configuration holds all endpoints, not only changes
 	s.pool = proxy.New(c.Settings.Settings, watch.ProxyEndpointList(known), proxy.Options{
@@ -148,6 +153,7 @@
 		DialTimeout: c.Settings.DialTimeout,
 		MaxConns:    c.Limits.maxConns(processesOutsideHandover),
 		Quarantine:  responseQuarantine,
+		RecentIDs:   recentIDs,
 		Subscribe:   s.discovery.Subscribe,
 		Log:         log,
 	})
@@ -163,11 +169,36 @@
 		readiness:  s.readiness,
 		log:        log,
 	}
-	sharedDirParent := c.SharedDirParent
+	s.handover.join(sharedDirParent(c), c.Name)
+}
+
+// sharedDirParent returns the parent of the directory that the processes of this sidecar share. It
+// is empty if nothing is shared: no endpoint can be disabled, and there is no process handover.
+func sharedDirParent(c Config) string {
 	if c.AdminAddr == "" && c.AcceptFD == "" {
-		sharedDirParent = "" // nothing is shared: no endpoint can be disabled, and there is no process handover
+		return ""
+	}
+	return c.SharedDirParent
+}
+
+// openRecentIDs returns the ids of recent requests that the processes of this sidecar share, or a
+// set of this process alone if they share nothing or the shared set can't be opened. It returns the
+// error too in that case.
+func openRecentIDs(c Config) (*recentids.Set, error) {
+	parent := sharedDirParent(c)
+	if parent == "" {
+		return recentids.New(), nil
+	}
+	file, err := hotrestart.NewSharedDir(parent, c.Name).OpenRecentIDs()
+	if err != nil {
+		return recentids.New(), err
+	}
+	defer file.Close()
+	shared, err := recentids.Open(file)
+	if err != nil {
+		return recentids.New(), err
 	}
-	s.handover.join(sharedDirParent, c.Name)
+	return shared, nil
 }
 
 // Addr returns the address of the listener for clients.
--- a/internal/stress/clients_test.go
+++ b/internal/stress/clients_test.go
@@ -1,8 +1,11 @@
 package stress
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -116,3 +119,20 @@
 		}
 	}
 }
+
+// exchange sends a request and returns the status of its response, or 0 if there is none.
+func exchange(conn net.Conn, text string) (status int) {
+	const timeout = 10 * time.Second
+	_ = conn.SetDeadline(time.Now().Add(timeout))
+	if _, err := io.WriteString(conn, text); err != nil {
+		return 0
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
--- a/internal/stress/endpoints_test.go
+++ b/internal/stress/endpoints_test.go
@@ -28,7 +28,7 @@
 	addr string
 
 	mu       sync.Mutex
-	received map[string]int // requests, by id
+	received map[string][]time.Time // when requests were received, by id
 }
 
 // responder writes the response to a request, and reads its body before. It reports whether the
@@ -45,7 +45,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { l.Close() })
-		e := &endpoint{addr: l.Addr().String(), received: map[string]int{}}
+		e := &endpoint{addr: l.Addr().String(), received: map[string][]time.Time{}}
 		go e.accept(l, respond)
 		endpoints = append(endpoints, e)
 		addrs = append(addrs, e.addr)
@@ -65,6 +65,28 @@
 	}
 }
 
+// record records a request that has been received completely.
+func (e *endpoint) record(r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	id := r.Header.Get("Req-Id")
+	e.received[id] = append(e.received[id], time.Now())
+}
+
+// receivedTimes returns when the endpoints have received requests whose id begins with a prefix.
+func receivedTimes(endpoints []*endpoint, prefix string) (times []time.Time) {
+	for _, e := range endpoints {
+		e.mu.Lock()
+		for id, received := range e.received {
+			if strings.HasPrefix(id, prefix) {
+				times = append(times, received...)
+			}
+		}
+		e.mu.Unlock()
+	}
+	return times
+}
+
 func (e *endpoint) serve(conn net.Conn, respond responder) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
@@ -73,13 +95,17 @@
 		if err != nil {
 			return
 		}
+		hasBody := r.ContentLength != 0
+		if !hasBody {
+			e.record(r)
+		}
 		keepConn := respond(conn, r)
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		e.mu.Lock()
-		e.received[r.Header.Get("Req-Id")]++
-		e.mu.Unlock()
+		if hasBody {
+			e.record(r)
+		}
 		if !keepConn {
 			return
 		}
--- a/internal/stress/program_test.go
+++ b/internal/stress/program_test.go
@@ -5,10 +5,12 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -117,7 +119,12 @@
 	program     programName
 	descriptors int
 	endpoints   []string // addresses
-	connections int      // the daemon's limit on client connections; 0: a third of the descriptors
+	unixSocket  string   // path on which the daemon listens instead of a TCP address
+
+	// The following fields are for processes of one sidecar that run at the same time.
+	listener  *os.File // the socket on which they accept clients; nil: each process has its own
+	addr      string   // of listener
+	sharedDir string   // their TMPDIR; empty: a folder of its own
 }
 
 // start starts a program and waits until it serves. The process is killed when the test ends, and
@@ -126,7 +133,7 @@
 	t.Helper()
 	dir := t.TempDir()
 	var command string
-	env := []string{"TMPDIR=" + dir, "PATH=" + os.Getenv("PATH")}
+	env := []string{"TMPDIR=" + cmp.Or(o.sharedDir, dir), "PATH=" + os.Getenv("PATH")}
 	switch o.program {
 	case sidecarProgram:
 		config := filepath.Join(dir, "config.json")
@@ -141,6 +148,10 @@
 	p := &process{exited: make(chan struct{})}
 	p.cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s", o.descriptors, command))
 	p.cmd.Env = env
+	if o.listener != nil {
+		p.cmd.ExtraFiles = []*os.File{o.listener}
+		p.cmd.Env = append(env, platform.EnvAcceptFD+"=3")
+	}
 	p.run(t)
 	p.waitUntilReady(t)
 	go p.enforceMemoryLimit()
@@ -173,7 +184,15 @@
 	})
 }
 
-var listeningLine = regexp.MustCompile(`msg="?listening.* addr=(127\.0\.0\.1:[0-9]+)`)
+// dial opens a connection of a client to the process.
+func (p *process) dial() (net.Conn, error) {
+	if strings.HasPrefix(p.addr, "/") {
+		return net.Dial("unix", p.addr)
+	}
+	return net.Dial("tcp", p.addr)
+}
+
+var listeningLine = regexp.MustCompile(`msg="?listening.* addr=(127\.0\.0\.1:[0-9]+|/\S+)`)
 
 // waitUntilReady waits until the process answers a health check.
 func (p *process) waitUntilReady(t *testing.T) {
@@ -181,11 +200,12 @@
 	for until := time.Now().Add(startTimeout); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
 		if m := listeningLine.FindStringSubmatch(p.log.String()); m != nil {
 			p.addr = m[1]
-			if conn, err := testpeer.Dial(p.addr); err == nil {
+			if conn, err := p.dial(); err == nil {
+				_ = conn.SetDeadline(time.Now().Add(time.Second))
 				_, _ = io.WriteString(conn, "GET /_health HTTP/1.1\r\nHost: h\r\n\r\n")
-				resp, err := conn.ReadResponse(time.Second)
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 				conn.Close()
-				if err == nil && resp.StatusCode == 200 {
+				if err == nil && resp.StatusCode == http.StatusOK {
 					return
 				}
 			}
@@ -263,7 +283,7 @@
 	const objectiveUs = 2_500_000
 	text, err := json.Marshal(platform.ConfigFile{
 		Name:           "stress",
-		Listen:         "127.0.0.1:0",
+		Listen:         cmp.Or(o.addr, "127.0.0.1:0"),
 		Discovery:      discovery.Addr(),
 		Seed:           "1",
 		Limits:         platform.ConfigLimits{Cores: 1, MemoryMB: memoryLimitMB, Sockets: o.descriptors},
@@ -284,9 +304,9 @@
 
 // daemonConfig returns the configuration of a daemon.
 func daemonConfig(o options) string {
-	connections := o.connections
-	if connections == 0 {
-		connections = o.descriptors / clientShare
+	address := "127.0.0.1:0"
+	if o.unixSocket != "" {
+		address = "unix:" + o.unixSocket
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, `limits {
@@ -294,7 +314,7 @@
   connections = %d
 }
 listener "front" {
-  address = "127.0.0.1:0"
+  address = %q
 }
 class "look" {
   effect = "safe"
@@ -307,7 +327,7 @@
 pool "all" {
   connections = %d
   roster "static" {
-`, memoryLimitMB, connections, o.descriptors/clientShare)
+`, memoryLimitMB, o.descriptors/clientShare, address, o.descriptors/clientShare)
 	for i, addr := range o.endpoints {
 		fmt.Fprintf(&b, "    endpoint \"s-%d\" {\n      address = %q\n    }\n", i, addr)
 	}
