Count an upload's time from when its client can have sent the last byte

Callers saw: an upload of 16 MiB whose endpoint reads at 800 KB/s was answered 5.6 to 6.4 s after its last byte, with a time of 1 s (both programs, known length and chunks).

While the endpoint reads slowly, up to 4 MiB that the client has sent wait in its kernel, and arrive as slowly.

Change: arrivalLog records how much had arrived when, while the receive buffer is full; what was sent is bounded by that.

--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -211,9 +211,9 @@
 	}
 }
 
-// enforceMaxConns closes a connection if more than maxConns are open and not closing yet. It returns
-// false if none of them can be closed, or too many are closing already. accepted is the connection
-// for which room is made, or nil. The caller must hold l.mu.
+// enforceMaxConns closes a connection if more than maxConns are open and not closing yet. It
+// returns false if none of them can be closed, or too many are closing already. accepted is the
+// connection for which room is made, or nil. The caller must hold l.mu.
 func (l *Listener) enforceMaxConns(accepted *trackedConn) bool {
 	if len(l.conns) <= l.maxConns {
 		return true
--- a/internal/httpserver/streamedbody.go
+++ b/internal/httpserver/streamedbody.go
@@ -21,6 +21,8 @@
 	receivedAhead int64              // bytes received before the rest is streamed
 	sentAt        time.Time          // result of SentAt, once the last byte is known to have arrived; zero before
 
+	arrivals arrivalLog
+
 	buffered [][]byte // from buffers; not changed after bufferAhead
 }
 
@@ -59,33 +61,49 @@
 }
 
 // SentAt implements sharedbody.Rest. It returns the earliest time at which the client can have sent
-// the last byte of the body, or the current time if the client cannot have sent it yet. While there
-// is unread data, the rest may have been sent right after the data that was read last, because some
-// of it may still be in the client's own buffers. Once the body is abandoned, the time is unknown:
-// the reader belongs to the connection's goroutine again.
+// the last byte of the body, or the current time if the client cannot have sent it yet. While the
+// receive buffer is full, the rest may have been sent long ago, because much of it may still be in
+// the client's own buffers. Once the body is abandoned, the time is unknown: the reader belongs to
+// the connection's goroutine again.
 func (b *streamedBody) SentAt() time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := time.Now()
 	if b.source.abandoned.Load() {
-		return time.Now()
+		return now
+	}
+	if !b.sentAt.IsZero() {
+		return b.sentAt
 	}
-	reader := b.source.reader
 	unread := b.socket.unreadBytes()
+	sentAt, isKnown := b.arrivalTime(now, unread)
+	total := b.source.pace.received + int64(len(b.source.reader.buffered())) + unread
+	b.arrivals.record(now, total, b.socket.isReceiveBufferFull(unread))
+	if bound := b.arrivals.earliestSend(now, max(b.length, total)); bound.Before(sentAt) {
+		sentAt = bound
+	}
+	if isKnown {
+		b.sentAt = sentAt
+	}
+	return sentAt
+}
+
+// arrivalTime returns when the last byte of the body arrived and true, or the earliest time at
+// which the client can have sent it if nothing is in the client's own buffers.
+func (b *streamedBody) arrivalTime(now time.Time, unread int64) (at time.Time, isKnown bool) {
+	reader := b.source.reader
 	isStreaming := b.source.pace.received > b.receivedAhead
 	switch {
-	case !b.sentAt.IsZero():
 	case b.ended():
-		b.sentAt = reader.lastArrivedAt
+		return reader.lastArrivedAt, true
 	case b.hasArrived(unread):
-		b.sentAt = time.Now().Add(-b.socket.unreadAge())
+		return now.Add(-b.socket.unreadAge()), true
 	case unread > 0 && isStreaming:
-		return reader.lastArrivedAt
+		return reader.lastArrivedAt, false
 	case unread > 0:
-		return reader.earliestSentAt
-	default:
-		return time.Now()
+		return reader.earliestSentAt, false
 	}
-	return b.sentAt
+	return now, false
 }
 
 // hasArrived reports whether the last byte of a body of known length has arrived, given the number
--- a/internal/stress/program_test.go
+++ b/internal/stress/program_test.go
@@ -92,6 +92,9 @@
 	log    lockedText
 	exited chan struct{} // closed when the process has exited
 
+	config    string                  // path of the configuration file
+	discovery *testpeer.FakeDiscovery // of a sidecar
+
 	peakKB atomic.Int64 // of its memory
 	killed atomic.Bool  // because its memory exceeded the limit
 }
@@ -134,18 +137,17 @@
 	dir := t.TempDir()
 	var command string
 	env := []string{"TMPDIR=" + cmp.Or(o.sharedDir, dir), "PATH=" + os.Getenv("PATH")}
+	p := &process{exited: make(chan struct{}), config: filepath.Join(dir, "config")}
 	switch o.program {
 	case sidecarProgram:
-		config := filepath.Join(dir, "config.json")
-		writeFile(t, config, sidecarConfig(t, o))
-		env = append(env, platform.EnvConfig+"="+config)
+		p.startDiscovery(t)
+		writeFile(t, p.config, sidecarConfig(t, o, p.discovery))
+		env = append(env, platform.EnvConfig+"="+p.config)
 		command = filepath.Join(binDir, "sidecar")
 	case daemonProgram:
-		config := filepath.Join(dir, "daemon.hcl")
-		writeFile(t, config, daemonConfig(o))
-		command = filepath.Join(binDir, "rowancart") + " serve " + config
+		writeFile(t, p.config, daemonConfig(o))
+		command = filepath.Join(binDir, "rowancart") + " serve " + p.config
 	}
-	p := &process{exited: make(chan struct{})}
 	p.cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s", o.descriptors, command))
 	p.cmd.Env = env
 	if o.listener != nil {
@@ -266,14 +268,20 @@
 	}
 }
 
-// sidecarConfig returns the configuration of a sidecar.
-func sidecarConfig(t *testing.T, o options) string {
+// startDiscovery starts the discovery service of a sidecar.
+func (p *process) startDiscovery(t *testing.T) {
 	t.Helper()
-	discovery, err := testpeer.StartDiscovery(testpeer.DiscoveryOptions{EmptyLineFirst: true})
+	var err error
+	p.discovery, err = testpeer.StartDiscovery(testpeer.DiscoveryOptions{EmptyLineFirst: true})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(discovery.Close)
+	t.Cleanup(p.discovery.Close)
+}
+
+// sidecarConfig returns the configuration of a sidecar, and lists its endpoints at its discovery.
+func sidecarConfig(t *testing.T, o options, discovery *testpeer.FakeDiscovery) string {
+	t.Helper()
 	var known []platform.Endpoint
 	for i, addr := range o.endpoints {
 		e := testpeer.ListedEndpoint(fmt.Sprintf("s-%d", i), addr, platform.StateReady)
