Pass on a long answer that began before the request was read completely

Callers saw: 503, which promises that nothing has run, for an upload whose endpoint was writing a long answer (200) already.

Cause: resolvePartialWrite passed on an early 200 only if it was complete within 200 ms; a streamed one counted as declined.

Change: an early 200 is passed on like any other; its connection carries no further request. Once its first bytes were seen, the endpoint has the client's time for the rest.

--- a/internal/connpool/exchange.go
+++ b/internal/connpool/exchange.go
@@ -12,8 +12,8 @@
 	"rowancart/internal/sharedbody"
 )
 
-// earlyResponseTimeout limits how long reading a response may take if it arrived before the request
-// was written completely.
+// earlyResponseTimeout limits how long reading a response may take if writing the request failed
+// before a byte of the response had been seen.
 const earlyResponseTimeout = 200 * time.Millisecond
 
 // exchangeResult is the outcome of an exchange.
@@ -188,7 +188,7 @@
 
 // resolvePartialWrite returns the result of an attempt whose request was not written completely. An
 // endpoint does not run a request before its last byte has arrived. So the request counts as not
-// run, unless a complete early response with status 200 was read.
+// run, unless an early response with status 200 was read.
 func (p *Pool) resolvePartialWrite(c *conn, a *Attempt, req *Request, writeErr error) (Response, error) {
 	if errors.Is(writeErr, errUploadFailed) || errors.Is(writeErr, errBodyUnavailable) {
 		return Response{}, a.failure(NotSent, writeErr) // not a failure of the endpoint
@@ -196,23 +196,41 @@
 	if !req.Body.IsLong() || a.isCanceled() {
 		return Response{}, a.failure(ConnectFailed, writeErr)
 	}
-	early, err := p.readEarlyResponse(c, req)
+	early, err := p.readEarlyResponse(c, req, earlyResponseDeadline(a, req, writeErr))
 	switch {
 	case err != nil:
 		return Response{}, a.failure(ConnectFailed, writeErr)
-	case early.Status == http.StatusOK && early.Stream == nil:
-		retainContentType(early.Header)
-		return early, nil
+	case early.Status == http.StatusOK:
+		return p.passEarlyResponse(early)
 	case isDeclined(early):
 		return Response{}, &Error{Kind: Declined, Err: errDeclined}
 	}
+	early.ReleaseBody(req.Memory)
 	return Response{}, &Error{Kind: Declined, Err: &StatusError{Status: early.Status, Early: true}}
 }
 
+// passEarlyResponse returns an early response as it is passed on to the client. Its connection
+// can't carry another request, since the present one was not written completely.
+func (p *Pool) passEarlyResponse(early Response) (Response, error) {
+	if early.Stream != nil {
+		early.Stream.lastOnConn = true
+	}
+	return p.evaluateResponse(early)
+}
+
+// earlyResponseDeadline returns the time by which an early response must have been read, unless it
+// is streamed. If its first bytes have arrived, the endpoint has the time of the client for the
+// rest.
+func earlyResponseDeadline(a *Attempt, req *Request, writeErr error) time.Time {
+	if errors.Is(writeErr, errEarlyResponse) {
+		return earlier(a.Deadline, time.Now().Add(req.ClientTimeout))
+	}
+	return time.Now().Add(earlyResponseTimeout)
+}
+
 // readEarlyResponse reads a response that may have arrived before the request was written
 // completely.
-func (p *Pool) readEarlyResponse(c *conn, req *Request) (Response, error) {
-	deadline := time.Now().Add(earlyResponseTimeout)
+func (p *Pool) readEarlyResponse(c *conn, req *Request, deadline time.Time) (Response, error) {
 	if err := c.SetReadDeadline(deadline); err != nil {
 		return Response{}, err
 	}
--- a/internal/stress/slowendpoint_test.go
+++ b/internal/stress/slowendpoint_test.go
@@ -220,3 +220,50 @@
 		}
 	}
 }
+
+// Guards against a long answer that is cut off because its endpoint began to write it before it had
+// read all of the request.
+func TestEarlyLongAnswersAreNotCutOff(t *testing.T) {
+	const pause, uploadSize = 50 * time.Millisecond, 16 << 20
+	plain := func(b []byte) string { return string(b) }
+	chunk := func(b []byte) string { return fmt.Sprintf("%x\r\n%s\r\n", len(b), b) }
+	for name, answer := range map[string]responder{
+		"known length": respondSlowly(fmt.Sprintf("Content-Length: %d\r\n", slowBody), "", pause, plain),
+		"chunks":       respondSlowly("Transfer-Encoding: chunked\r\n", "0\r\n\r\n", pause, chunk),
+	} {
+		respond := func(conn net.Conn, r *http.Request) bool {
+			if _, err := io.ReadFull(r.Body, make([]byte, 256<<10)); err != nil {
+				return false
+			}
+			return answer(conn, r)
+		}
+		for _, program := range []programName{sidecarProgram, daemonProgram} {
+			t.Run(fmt.Sprint(name, "/", program), func(t *testing.T) {
+				t.Parallel()
+				_, addrs := startEndpoints(t, respond)
+				p := start(t, options{program: program, descriptors: minDescriptors, endpoints: addrs})
+				conn, err := p.dial()
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer conn.Close()
+				go func() {
+					_, _ = io.WriteString(conn, headText("POST", "/pay/a", "early", fmt.Sprint("Content-Length: ", uploadSize))+"\r\n")
+					for sent := 0; sent < uploadSize; sent += pieceSize {
+						if _, err := conn.Write(piece); err != nil {
+							return
+						}
+					}
+				}()
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				n, err := io.Copy(io.Discard, resp.Body)
+				if resp.StatusCode != http.StatusOK || n != slowBody || err != nil {
+					t.Errorf("status %d, %d of %d bytes, error %v", resp.StatusCode, n, slowBody, err)
+				}
+			})
+		}
+	}
+}
