--- a/internal/httpserver/bodybuffers.go
+++ b/internal/httpserver/bodybuffers.go
@@ -6,7 +6,7 @@
 	bodyBufferSize    = 64 << 10 // bytes of one buffer
 	minBodyBuffers    = 16       // minimum of bodyBufferPool.limit
 	bodyQuotaDivisor  = 4        // one body may use a quarter of bodyBufferPool.limit
-	maxFreeBuffers    = 16       // maximum number of buffers kept for reuse
+	maxFreeBuffers    = 4        // maximum number of buffers kept for reuse
 	defaultBodyMemory = 8 << 20  // maximum bytes of all buffers in use
 	defaultMemory     = 32 << 20 // bytes of the budget of a Server that shares none
 )
--- a/internal/httpserver/receivedbody.go
+++ b/internal/httpserver/receivedbody.go
@@ -14,6 +14,10 @@
 // such bodies. Its values are of type *[]byte and have a length of proxy.MaxBody bytes.
 var bodyDataPool = sync.Pool{New: func() any { b := make([]byte, proxy.MaxBody); return &b }}
 
+// streamedPrefix is how many bytes of a long body are read before it is routed if there is no
+// memory for more.
+const streamedPrefix = 512
+
 // receivedBody is a request's body: the data that readBody has read and, of a long body, the
 // source of the rest.
 type receivedBody struct {
@@ -35,8 +39,11 @@
 // newReceivedBody returns a body with space for size bytes of data. If there is no memory for that,
 // the space is smaller: the rest of the body is then streamed.
 func newReceivedBody(size int, memory *membudget.Account) receivedBody {
-	if size <= initialBufferSize || !memory.TryReserve(proxy.MaxBody, membudget.Receiving) {
-		return receivedBody{data: make([]byte, min(size, initialBufferSize))}
+	switch {
+	case size <= initialBufferSize:
+		return receivedBody{data: make([]byte, size)}
+	case !memory.TryReserve(proxy.MaxBody, membudget.Receiving):
+		return receivedBody{data: make([]byte, streamedPrefix)}
 	}
 	space := bodyDataPool.Get().(*[]byte)
 	return receivedBody{data: (*space)[:size], releaseData: func() {
@@ -54,7 +61,7 @@
 }
 
 // readBody reads a request's body, or the first proxy.MaxBody bytes of a longer one. If there is no
-// memory for that, it reads only the first initialBufferSize bytes.
+// memory for that, it reads only the first streamedPrefix bytes.
 func (c *conn) readBody(r *http.Request) (receivedBody, *Rejection) {
 	length := r.ContentLength // -1 is http1.Chunked
 	expect := r.Header.Get("Expect")
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -37,7 +37,7 @@
 	connSides = 2
 	// requestMemoryDivisor gives the memory that requests may reserve beyond what each connection may
 	// use without asking: the memory limit divided by it.
-	requestMemoryDivisor = 5
+	requestMemoryDivisor = 6
 	// minConns is the minimum number of connections on each side, however low the limits are.
 	minConns = 8
 
--- a/internal/sidecar/limits_test.go
+++ b/internal/sidecar/limits_test.go
@@ -12,9 +12,9 @@
 		bodies    int
 		requests  int64
 	}{
-		{limits, processesOutsideHandover, 224, 93952409, 16 << 20, 26843545},
-		{limits, processesDuringHandover, 112, 46976204, 8 << 20, 13421772},
-		{Limits{MemoryMB: 16, Sockets: 64}, processesOutsideHandover, minConns, 11744051, 2 << 20, 3355443}, // lowest
+		{limits, processesOutsideHandover, 224, 93952409, 16 << 20, 22369621},
+		{limits, processesDuringHandover, 112, 46976204, 8 << 20, 11184810},
+		{Limits{MemoryMB: 16, Sockets: 64}, processesOutsideHandover, minConns, 11744051, 2 << 20, 2796202}, // lowest
 	} {
 		conns := c.limits.maxConns(c.processes)
 		heap, bodies := c.limits.heapBytes(c.processes), c.limits.bodyBytes(c.processes)
