Reserve memory for the fields of an answer's head

Callers saw: endpoints that answer with thousands of short fields take the daemon over its memory limit (32,788 and 33,076 KiB at 256 and 1,024 descriptors), and it is killed. The sidecar, which drops the fields, holds (19,784 KiB).

Cause: the same as for requests: nothing bounded what the fields of all heads take together.

TestMemoryStaysWithinLimit has a case for it, with 900 fields, which are served, and one for heads of requests.

--- a/internal/connpool/response.go
+++ b/internal/connpool/response.go
@@ -1,6 +1,7 @@
 package connpool
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"math"
@@ -13,15 +14,8 @@
 )
 
 const (
-	maxInterimResponses = 8                     // 1xx responses after which reading a response fails
-	unreservedBody      = 4 << 10               // bytes of a body that are buffered without a reservation of memory
-	streamAfter         = 50 * time.Millisecond // after which a body of unknown length that has not ended is streamed
-)
-
-// The requests that tell http.ReadResponse whether the response is one to HEAD, which has no body.
-var (
-	headRequest = &http.Request{Method: http.MethodHead}
-	getRequest  = &http.Request{Method: http.MethodGet}
+	unreservedBody = 4 << 10               // bytes of a body that are buffered without a reservation of memory
+	streamAfter    = 50 * time.Millisecond // after which a body of unknown length that has not ended is streamed
 )
 
 // responseReader reads one response from a connection. The connection's own deadline bounds its
@@ -57,34 +51,21 @@
 			return receivedResponse{}, err
 		}
 		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		if err := r.reserveFields(bytes.Count(buffered, lineEnd)); err != nil {
+			return receivedResponse{}, err
+		}
 		if head, ok := http1.ParseResponse(buffered); ok {
 			_, _ = c.reader.Discard(head.Size) // can't fail, because the head is buffered
 			return r.readBody(Response{Status: head.Status, Header: head.Header}, bodyFraming{length: int64(head.BodyLength)})
 		}
 	}
-	head, err := c.readResponseHead(method)
+	head, err := r.readHead(method)
 	if err != nil {
 		return receivedResponse{}, err
 	}
 	return r.readBody(Response{Status: head.StatusCode, Header: head.Header}, framingOf(head, method))
 }
 
-// readResponseHead uses net/http to read the head of a response that http1.ParseResponse does not
-// parse. The Body of the result must not be read: an http1.Body reads it from the connection.
-func (c *conn) readResponseHead(method string) (*http.Response, error) {
-	req := getRequest
-	if method == http.MethodHead {
-		req = headRequest
-	}
-	for range maxInterimResponses {
-		resp, err := http.ReadResponse(c.reader, req)
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
-		}
-	}
-	return nil, errTooManyInterim
-}
-
 // framingOf returns the framing of a response's body (RFC 9112, section 6.3).
 func framingOf(head *http.Response, method string) bodyFraming {
 	switch {
--- a/internal/stress/endpoints_test.go
+++ b/internal/stress/endpoints_test.go
@@ -129,6 +129,13 @@
 	}
 }
 
+// respondWithManyFields writes a short response whose head has many short fields.
+func respondWithManyFields(conn net.Conn, _ *http.Request) bool {
+	time.Sleep(endpointTime)
+	_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"+manyFields(maxFields)+"\r\nok")
+	return err == nil
+}
+
 // respondWithLength returns a responder that writes a response of known length.
 func respondWithLength(length int) responder {
 	return func(conn net.Conn, _ *http.Request) bool {
--- a/internal/stress/memory_test.go
+++ b/internal/stress/memory_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -40,11 +41,14 @@
 	return head
 }
 
-// manyFields returns short fields that fill a head nearly up to 16 KiB.
-func manyFields() string {
+// maxFields is the number of fields in a head that is not rejected for its number of fields.
+const maxFields = 900
+
+// manyFields returns short fields that fill a head nearly up to 16 KiB, but at most count.
+func manyFields(count int) string {
 	const letters = "abcdefghijklmnopqrstuvwxyz0123456789_!#$%&'*+.^`|~"
 	var b strings.Builder
-	for i := 0; b.Len() < 15<<10; i++ {
+	for i := 0; b.Len() < 15<<10 && i < count; i++ {
 		fmt.Fprintf(&b, "%c%c:\r\n", letters[i/len(letters)%len(letters)], letters[i%len(letters)])
 	}
 	return b.String()
@@ -96,7 +100,18 @@
 }
 
 func sendManyFields(conn net.Conn, id string, end time.Time) {
-	fields := manyFields()
+	fields := manyFields(math.MaxInt)
+	_ = conn.SetDeadline(end.Add(time.Second))
+	reader := bufio.NewReader(conn)
+	for n := 0; time.Now().Before(end); n++ {
+		if !request(conn, reader, headText("GET", "/look/a", fmt.Sprint(id, "-", n))+fields+"\r\n") {
+			return
+		}
+	}
+}
+
+func sendManyAllowedFields(conn net.Conn, id string, end time.Time) {
+	fields := manyFields(maxFields)
 	_ = conn.SetDeadline(end.Add(time.Second))
 	reader := bufio.NewReader(conn)
 	for n := 0; time.Now().Before(end); n++ {
@@ -106,6 +121,16 @@
 	}
 }
 
+func sendSmallRequests(conn net.Conn, id string, end time.Time) {
+	_ = conn.SetDeadline(end.Add(time.Second))
+	reader := bufio.NewReader(conn)
+	for n := 0; time.Now().Before(end); n++ {
+		if !request(conn, reader, headText("GET", "/look/a", fmt.Sprint(id, "-", n))+"\r\n") {
+			return
+		}
+	}
+}
+
 func uploadWithLength(length int) func(net.Conn, string, time.Time) {
 	return func(conn net.Conn, id string, end time.Time) {
 		_, _ = io.WriteString(conn, headText("POST", "/pay/a", id, fmt.Sprint("Content-Length: ", length))+"\r\n")
@@ -158,6 +183,8 @@
 var memoryCases = map[string]memoryCase{
 	"heads of many short fields":             {respondOK, sendManyFields},
 	"long heads":                             {respondOK, sendLongHeads},
+	"heads with 900 fields":                  {respondAfter(endpointTime), sendManyAllowedFields},
+	"answers of many short fields":           {respondWithManyFields, sendSmallRequests},
 	"heads that stop":                        {respondOK, stopInHead},
 	"slow uploads of known length":           {respondOK, uploadWithLength(longBody)},
 	"slow uploads of unknown length":         {respondOK, uploadInChunks},
