--- a/cmd/sidecar/testplatform_test.go
+++ b/cmd/sidecar/testplatform_test.go
@@ -72,28 +72,10 @@
 type sidecarProcess struct {
 	*exec.Cmd
 	adminAddr string
-	log       logBuffer
+	log       testpeer.LogBuffer
 	exited    chan error
 }
 
-// logBuffer holds what a process has logged so far.
-type logBuffer struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-func (b *logBuffer) appendLine(line string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.text.WriteString(line + "\n")
-}
-
-func (b *logBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.String()
-}
-
 // config returns the configuration of the sidecar.
 func (p *testPlatform) config() platform.ConfigFile {
 	const latencyObjective = 2 * time.Second
@@ -154,7 +136,7 @@
 // adminAddr.
 func (s *sidecarProcess) readLog(stderr io.Reader, adminAddr chan<- string) {
 	for lines := bufio.NewScanner(stderr); lines.Scan(); {
-		s.log.appendLine(lines.Text())
+		fmt.Fprintln(&s.log, lines.Text())
 		if _, addr, ok := strings.Cut(lines.Text(), `msg="admin interface listening" name=t addr=`); ok {
 			adminAddr <- addr
 		}
--- a/internal/compatibility/daemon_test.go
+++ b/internal/compatibility/daemon_test.go
@@ -1,7 +1,6 @@
 package compatibility
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -48,28 +47,12 @@
 	checkEncodedAsStored(t, got, content)
 }
 
-// logBuffer collects log lines. It is safe for concurrent use.
-type logBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (b *logBuffer) Write(line []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(line)
-}
-
-func (b *logBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.String()
-}
-
 // startDaemon runs a daemon with the stored configuration, except that its listener and its state
 // file are replaced. If endpointList is not empty, it replaces the endpoint list of the
 // configuration. stop shuts the daemon down gracefully.
-func startDaemon(t *testing.T, statePath, endpointList string) (d *daemon.Daemon, log *logBuffer, stop func()) {
+func startDaemon(
+	t *testing.T, statePath, endpointList string,
+) (d *daemon.Daemon, log *testpeer.LogBuffer, stop func()) {
 	t.Helper()
 	stored, err := os.ReadFile(daemonConfigPath)
 	if err != nil {
@@ -96,7 +79,7 @@
 	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	log = &logBuffer{}
+	log = &testpeer.LogBuffer{}
 	d, err = daemon.New(daemon.Options{ConfigPath: config, LookupEnv: os.LookupEnv,
 		Log: slog.New(slog.NewTextHandler(log, nil))})
 	if err != nil {
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -10,7 +9,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"sync"
 	"testing"
 
 	"rowancart/internal/testpeer"
@@ -23,25 +21,7 @@
 	configPath string
 	stop       context.CancelFunc
 	runErr     chan error // receives the error of Run, and is then closed
-	log        *lockedBuffer
-}
-
-// lockedBuffer is a buffer that can be read while the daemon writes its log to it.
-type lockedBuffer struct {
-	mu     sync.Mutex
-	buffer bytes.Buffer
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buffer.Write(p)
-}
-
-func (b *lockedBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buffer.String()
+	log        *testpeer.LogBuffer
 }
 
 // configHead is the beginning of most configurations of test daemons, and limitsBlock is a part of
@@ -80,7 +60,7 @@
 		t:          t,
 		configPath: filepath.Join(t.TempDir(), "rowancart.hcl"),
 		runErr:     make(chan error, 1),
-		log:        &lockedBuffer{},
+		log:        &testpeer.LogBuffer{},
 	}
 	s.writeFile(config)
 	var err error
--- a/internal/stress/program_test.go
+++ b/internal/stress/program_test.go
@@ -17,7 +17,6 @@
 	"regexp"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -89,7 +88,7 @@
 type process struct {
 	cmd    *exec.Cmd
 	addr   string // for clients
-	log    lockedText
+	log    testpeer.LogBuffer
 	exited chan struct{} // closed when the process has exited
 
 	config    string                  // path of the configuration file
@@ -99,24 +98,6 @@
 	killed atomic.Bool  // because its memory exceeded the limit
 }
 
-// lockedText is a text to which one goroutine appends while others read it.
-type lockedText struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-func (l *lockedText) add(line string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.text.WriteString(line + "\n")
-}
-
-func (l *lockedText) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.String()
-}
-
 // options describe a process to start.
 type options struct {
 	program     programName
@@ -172,7 +153,7 @@
 	}
 	go func() {
 		for lines := bufio.NewScanner(stderr); lines.Scan(); {
-			p.log.add(lines.Text())
+			fmt.Fprintln(&p.log, lines.Text())
 		}
 		_ = p.cmd.Wait()
 		close(p.exited)
