Count only the lines of an answer's head, not those of its body

Change: headLines ends at the empty line. TestLinesOfHeadAreCounted: 2 lines for a head of two before a body of 500.

--- a/internal/connpool/response.go
+++ b/internal/connpool/response.go
@@ -1,7 +1,6 @@
 package connpool
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"math"
@@ -51,7 +50,7 @@
 			return receivedResponse{}, err
 		}
 		buffered, _ := c.reader.Peek(c.reader.Buffered())
-		if err := r.reserveFields(bytes.Count(buffered, lineEnd)); err != nil {
+		if err := r.reserveFields(headLines(buffered)); err != nil {
 			return receivedResponse{}, err
 		}
 		if head, ok := http1.ParseResponse(buffered); ok {
--- a/internal/connpool/responsehead.go
+++ b/internal/connpool/responsehead.go
@@ -22,7 +22,10 @@
 	headMemoryTimeout = time.Second
 )
 
-var lineEnd = []byte("\r\n")
+var (
+	lineEnd   = []byte("\r\n")
+	endOfHead = []byte("\r\n\r\n")
+)
 
 // The requests that tell http.ReadResponse whether the response is one to HEAD, which has no body.
 var (
@@ -65,6 +68,16 @@
 	return nil
 }
 
+// headLines returns the number of lines of the head at the beginning of data, or 0 if the head is
+// incomplete.
+func headLines(data []byte) int {
+	end := bytes.Index(data, endOfHead)
+	if end < 0 {
+		return 0
+	}
+	return bytes.Count(data[:end], lineEnd) + 1
+}
+
 // readHeadText reads a head with its empty line.
 func (c *conn) readHeadText() ([]byte, error) {
 	var text []byte
--- a/internal/connpool/responsehead_test.go
+++ b/internal/connpool/responsehead_test.go
@@ -31,6 +31,19 @@
 	}
 }
 
+// The lines of a body are not fields of the head before it.
+func TestLinesOfHeadAreCounted(t *testing.T) {
+	for text, want := range map[string]int{
+		"HTTP/1.1 200 OK\r\n\r\n": 1,
+		"HTTP/1.1 200 OK\r\nA: b\r\n\r\n" + strings.Repeat("a\r\n", 500): 2,
+		"HTTP/1.1 200 OK\r\nA: b\r\n":                                    0,
+	} {
+		if got := headLines([]byte(text)); got != want {
+			t.Errorf("%.40q: %d lines, want %d", text, got, want)
+		}
+	}
+}
+
 func TestResponseHeadNeedsMemoryForItsFields(t *testing.T) {
 	budget := membudget.New(10 * fieldMemory)
 	r := responseReader{memory: budget.NewAccount()}
