--- a/internal/stress/program_test.go
+++ b/internal/stress/program_test.go
@@ -84,6 +84,11 @@
 	}
 }
 
+// forEachProgramNamed is forEachProgram in a subtest.
+func forEachProgramNamed(t *testing.T, name string, run func(t *testing.T, name programName, descriptors int)) {
+	t.Run(name, func(t *testing.T) { forEachProgram(t, run) })
+}
+
 // process is a running program.
 type process struct {
 	cmd    *exec.Cmd
--- a/internal/stress/silent_test.go
+++ b/internal/stress/silent_test.go
@@ -35,7 +35,7 @@
 	group.Wait()
 }
 
-// Guards against peers that connect and send nothing, or a part of a head, and so keep others from
+// Guards against peers that connect and send nothing, or an empty line, and so keep others from
 // their answers.
 func TestSilentPeersLeaveOthersTheirConnections(t *testing.T) {
 	for name, text := range map[string]string{"nothing": "", "an empty line": "\r\n"} {
