Log each failed attempt with its phase, and each request that ended late

The log had one line per reason and 10 s, with the id of one request, and none for an attempt in flight.

New lines, in both programs: 'attempt failed' (id, endpoint, kind, phase, bytes written, time; 30 lines in 10 s at most) and 'request ended after its time' (how late, status). SentAt no longer waits for a read in progress, so that it can be called from any goroutine.

--- a/internal/connpool/attempt.go
+++ b/internal/connpool/attempt.go
@@ -20,12 +20,35 @@
 	OnRequestWritten   func()      // called when a request with a long body has been written completely; may be nil
 	ClientDisconnected func() bool // reports whether the client has disconnected; must not block. nil: unknown
 
+	progress Progress // of the goroutine in RoundTrip
+
 	mu             sync.Mutex // guards the fields below; held while inProgress is closed, which doesn't block
 	canceled       bool
 	requestWritten bool      // the request has been written completely: from now on it may run
 	inProgress     io.Closer // closed by a cancellation; nil: nothing is in progress that could be canceled
 }
 
+// Phase is what an attempt was doing when it ended.
+type Phase string
+
+// The phases, in their order. Their values appear in logs.
+const (
+	Connecting     Phase = "connecting"      // waiting for a connection
+	WritingHead    Phase = "writing_head"    // writing the head, with a short body if there is one
+	WritingParts   Phase = "writing_parts"   // writing the part of a long body that is in memory
+	WritingRest    Phase = "writing_rest"    // reading the rest of a long body from the client, and writing it
+	AwaitsResponse Phase = "awaits_response" // the request has been written completely
+)
+
+// Progress says how far an attempt has come.
+type Progress struct {
+	Phase   Phase
+	Written int64 // bytes of the request that the kernel has accepted on the attempt's last connection
+}
+
+// Progress returns how far the attempt has come. It must not be called before RoundTrip returns.
+func (a *Attempt) Progress() Progress { return a.progress }
+
 // Cancel cancels the attempt. What is in progress ends at once.
 func (a *Attempt) Cancel() {
 	a.mu.Lock()
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -22,6 +22,7 @@
 	readLimit   *io.LimitedReader // limits how many more bytes reader may read
 	reader      *bufio.Reader
 	writeBuffer []byte // reused from one request to the next, if it is not large
+	written     int64  // bytes of the current request
 
 	endpoint    *endpointConns
 	dialedAddr  string
--- a/internal/connpool/exchange.go
+++ b/internal/connpool/exchange.go
@@ -31,6 +31,7 @@
 // has a Stream, the Stream owns the connection from then on.
 func (p *Pool) RoundTrip(a *Attempt, endpoint string, req *Request) (Response, error) {
 	for {
+		a.progress = Progress{Phase: Connecting}
 		c, err := p.acquireConn(a, endpoint)
 		if err != nil {
 			return Response{}, p.acquireFailure(a, endpoint, err)
@@ -126,6 +127,7 @@
 		response, err := p.resolvePartialWrite(c, a, req, err)
 		return exchangeResult{response: response, err: err}
 	}
+	a.progress.Phase = AwaitsResponse
 	a.markRequestWritten()
 	p.requestsWritten.Add(1)
 	if req.Body.IsLong() && a.OnRequestWritten != nil {
--- a/internal/connpool/longbody.go
+++ b/internal/connpool/longbody.go
@@ -45,6 +45,7 @@
 	buffer := http1.AcquirePieceBuffer(req.Memory)
 	defer buffer.Release(req.Memory)
 	w := bodyWriter{conn: c, attempt: a, request: req, body: body, buffer: buffer}
+	a.progress.Phase = WritingParts
 	for _, part := range body.Parts() {
 		if err := w.writePart(part); err != nil {
 			return err
@@ -108,6 +109,7 @@
 	if !w.attempt.setInProgress(restInProgress{w.conn, w.body}) {
 		return errAttemptCanceled
 	}
+	w.attempt.progress.Phase = WritingRest
 	rest := w.body.StartRest()
 	for {
 		n, err := rest.Read(w.buffer.Data())
@@ -146,6 +148,7 @@
 			return errWriteFailed
 		}
 		written, err := w.conn.Write(data)
+		w.conn.written += int64(written)
 		data = data[written:]
 		mayContinue := errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(stallDeadline)
 		if len(data) > 0 && !mayContinue {
--- a/internal/connpool/write.go
+++ b/internal/connpool/write.go
@@ -14,6 +14,9 @@
 // errEarlyResponse, errUploadFailed, errBodyUnavailable or errAttemptCanceled.
 func (c *conn) writeRequest(a *Attempt, req *Request) error {
 	defer c.dropLargeBuffer()
+	c.written = 0
+	defer func() { a.progress.Written = c.written }()
+	a.progress.Phase = WritingHead
 	if req.Body == nil {
 		return c.writeShortRequest(a, req, nil)
 	}
@@ -39,7 +42,9 @@
 	}
 	length := int64(len(c.writeBuffer)) + req.Body.Length()
 	buffers := append(net.Buffers{c.writeBuffer}, parts...)
-	if n, err := buffers.WriteTo(c.Conn); n != length {
+	n, err := buffers.WriteTo(c.Conn)
+	c.written += n
+	if n != length {
 		return fmt.Errorf("%w: %w", errWriteFailed, err)
 	}
 	return nil
@@ -47,7 +52,9 @@
 
 // writeAll writes all of b, or returns an error that wraps errWriteFailed.
 func (c *conn) writeAll(b []byte) error {
-	if n, err := c.Write(b); n != len(b) {
+	n, err := c.Write(b)
+	c.written += int64(n)
+	if n != len(b) {
 		return fmt.Errorf("%w: %w", errWriteFailed, err)
 	}
 	return nil
--- a/internal/httpserver/forward.go
+++ b/internal/httpserver/forward.go
@@ -89,6 +89,7 @@
 	defer f.message.Body.Release()
 	c.disconnect.start(func() { f.target.Pool.ClientDisconnected(f.call) })
 	result := f.target.Pool.Do(f.call)
+	c.logIfLate(f, result)
 	c.unserved = result.Kind == proxy.Rejected || result.Kind == proxy.Duplicate
 	if c.disconnect.stop() {
 		c.lastRequest = true
--- a/internal/httpserver/streamedbody.go
+++ b/internal/httpserver/streamedbody.go
@@ -64,11 +64,14 @@
 // the last byte of the body, or the current time if the client cannot have sent it yet. While the
 // receive buffer is full, the rest may have been sent long ago, because much of it may still be in
 // the client's own buffers. Once the body is abandoned, the time is unknown: the reader belongs to
-// the connection's goroutine again.
+// the connection's goroutine again. While a read is in progress, nothing of the body is waiting to
+// be read, so the client cannot have sent the last byte.
 func (b *streamedBody) SentAt() time.Time {
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	now := time.Now()
+	if !b.mu.TryLock() {
+		return now
+	}
+	defer b.mu.Unlock()
 	if b.source.abandoned.Load() {
 		return now
 	}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -11,17 +11,18 @@
 // attempt is one attempt of a call. host.Send creates it. It is in flight until
 // its outcome is reported to the Balancer, which happens exactly once.
 type attempt struct {
-	control  connpool.Attempt
-	call     *Call
-	number   int // within the call, starting at 0
-	endpoint string
-	sentAt   time.Duration // when Send was called or a streamed request was fully written; guarded by Pool.mu
+	control   connpool.Attempt
+	call      *Call
+	number    int // within the call, starting at 0
+	endpoint  string
+	startedAt time.Duration // when Send was called
+	sentAt    time.Duration // when Send was called or a streamed request was fully written; guarded by Pool.mu
 }
 
 // newAttempt creates the next attempt of a call. p.mu must be held.
 func (p *Pool) newAttempt(c *Call, endpoint string, timeout time.Duration) *attempt {
 	now := p.clock.now()
-	a := &attempt{call: c, number: len(c.attempts), endpoint: endpoint, sentAt: now}
+	a := &attempt{call: c, number: len(c.attempts), endpoint: endpoint, startedAt: now, sentAt: now}
 	a.control.ClientDisconnected = c.ClientDisconnected
 	a.control.Deadline = time.Now().Add(min(timeout, c.Deadline-now))
 	if writeBy := p.balancer.RetryDeadline(c.ID); writeBy > 0 {
@@ -70,6 +71,9 @@
 // held.
 func (p *Pool) endAttempt(now time.Duration, a *attempt, response Response, err error) {
 	result := attemptResult(err)
+	if err != nil {
+		p.failures.record(now, a, err)
+	}
 	if result == balancer.NotSent && a.clientDisconnected() {
 		p.handleClientDisconnect(now, a.call) // otherwise the Balancer would retry at another endpoint
 	}
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -68,6 +68,7 @@
 	endpoints     endpointSet
 	timer         eventTimer
 	deferred      eventQueue
+	failures      failureLog
 	unserved      unservedLog
 
 	counts endpointCounts // written with mu held at the end of each event, read without mu
@@ -95,6 +96,7 @@
 		cancelAllowed: s.CancelAllowed,
 		calls:         newCallSet(o),
 		endpoints:     newEndpointSet(c),
+		failures:      failureLog{log: o.Log},
 		unserved:      unservedLog{log: o.Log, byReason: map[balancer.Reason]*unservedCount{}},
 	}
 	p.timer = newEventTimer(p.clock.now(), func() { p.handleEvent(p.fireDueTimers) })
--- a/internal/sharedbody/sharedbody.go
+++ b/internal/sharedbody/sharedbody.go
@@ -27,8 +27,8 @@
 
 	// SentAt returns the earliest time at which the client can have sent the last byte of the body,
 	// or the present time if the client cannot have sent it yet. The client's timeout counts from
-	// that time, whether the byte has been read or not. It is called by the goroutine that calls
-	// Read.
+	// that time, whether the byte has been read or not. It does not block and may be called from any
+	// goroutine.
 	SentAt() time.Time
 
 	// Interrupt makes all reads fail, including one in progress. It does not block and may be called
