--- a/internal/stress/endpoints_test.go
+++ b/internal/stress/endpoints_test.go
@@ -39,18 +39,27 @@
 // addresses.
 func startEndpoints(t *testing.T, respond responder) (endpoints []*endpoint, addrs []string) {
 	t.Helper()
-	for range endpointCount {
+	return startEndpointsOn(t, respond, func() net.Listener {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { l.Close() })
+		return l
+	})
+}
+
+// startEndpointsOn is startEndpoints on listeners that listen returns.
+func startEndpointsOn(t *testing.T, respond responder, listen func() net.Listener) (es []*endpoint, addrs []string) {
+	t.Helper()
+	for range endpointCount {
+		l := listen()
 		e := &endpoint{addr: l.Addr().String(), received: map[string][]time.Time{}}
 		go e.accept(l, respond)
-		endpoints = append(endpoints, e)
+		es = append(es, e)
 		addrs = append(addrs, e.addr)
 	}
-	return endpoints, addrs
+	return es, addrs
 }
 
 func (e *endpoint) accept(l net.Listener, respond responder) {
--- a/internal/stress/program_test.go
+++ b/internal/stress/program_test.go
@@ -96,6 +96,7 @@
 	log    testpeer.LogBuffer
 	exited chan struct{} // closed when the process has exited
 
+	memoryMB  int                     // limit on its memory
 	config    string                  // path of the configuration file
 	discovery *testpeer.FakeDiscovery // of a sidecar
 
@@ -107,6 +108,7 @@
 type options struct {
 	program     programName
 	descriptors int
+	memoryMB    int      // limit on its memory; 0: memoryLimitMB
 	endpoints   []string // addresses
 	unixSocket  string   // path on which the daemon listens instead of a TCP address
 
@@ -116,6 +118,9 @@
 	sharedDir string   // their TMPDIR; empty: a folder of its own
 }
 
+// memory returns the limit on the memory in MB.
+func (o options) memory() int { return cmp.Or(o.memoryMB, memoryLimitMB) }
+
 // start starts a program and waits until it serves. The process is killed when the test ends, and
 // as soon as its memory exceeds the limit.
 func start(t *testing.T, o options) *process {
@@ -123,7 +128,7 @@
 	dir := t.TempDir()
 	var command string
 	env := []string{"TMPDIR=" + cmp.Or(o.sharedDir, dir), "PATH=" + os.Getenv("PATH")}
-	p := &process{exited: make(chan struct{}), config: filepath.Join(dir, "config")}
+	p := &process{exited: make(chan struct{}), memoryMB: o.memory(), config: filepath.Join(dir, "config")}
 	switch o.program {
 	case sidecarProgram:
 		p.startDiscovery(t)
@@ -215,7 +220,7 @@
 		if kb > p.peakKB.Load() {
 			p.peakKB.Store(kb)
 		}
-		if kb > memoryLimitMB<<10 && !p.killed.Swap(true) {
+		if kb > int64(p.memoryMB)<<10 && !p.killed.Swap(true) {
 			_ = p.cmd.Process.Signal(syscall.SIGKILL)
 		}
 	}
@@ -241,10 +246,10 @@
 // requireWithinMemory fails the test if the process has exceeded its memory limit or has exited.
 func (p *process) requireWithinMemory(t *testing.T) {
 	t.Helper()
-	t.Logf("peak memory: %d KiB, limit %d KiB", p.peakKB.Load(), memoryLimitMB<<10)
+	t.Logf("peak memory: %d KiB, limit %d KiB", p.peakKB.Load(), p.memoryMB<<10)
 	if p.killed.Load() {
 		t.Errorf("the process had %d KiB of memory, over its limit of %d KiB, and was killed",
-			p.peakKB.Load(), memoryLimitMB<<10)
+			p.peakKB.Load(), p.memoryMB<<10)
 		return
 	}
 	select {
@@ -280,7 +285,7 @@
 		Listen:         cmp.Or(o.addr, "127.0.0.1:0"),
 		Discovery:      discovery.Addr(),
 		Seed:           "1",
-		Limits:         platform.ConfigLimits{Cores: 1, MemoryMB: memoryLimitMB, Sockets: o.descriptors},
+		Limits:         platform.ConfigLimits{Cores: 1, MemoryMB: o.memory(), Sockets: o.descriptors},
 		KnownEndpoints: platform.CompleteList(1, known...),
 		Settings: platform.SettingsObject{
 			Classes: []platform.ClassSettings{
@@ -321,7 +326,7 @@
 pool "all" {
   connections = %d
   roster "static" {
-`, memoryLimitMB, o.descriptors/clientShare, address, o.descriptors/clientShare)
+`, o.memory(), o.descriptors/clientShare, address, o.descriptors/clientShare)
 	for i, addr := range o.endpoints {
 		fmt.Fprintf(&b, "    endpoint \"s-%d\" {\n      address = %q\n    }\n", i, addr)
 	}
--- a/internal/stress/slowendpoint_test.go
+++ b/internal/stress/slowendpoint_test.go
@@ -145,27 +145,50 @@
 	complete  bool          // the client could send everything before the answer
 }
 
-// upload sends a body at full speed and waits for the answer.
-func upload(conn net.Conn, size int, chunked bool) uploadResult {
-	framing := fmt.Sprint("Content-Length: ", size)
-	if chunked {
+// uploadRequest is an upload that a client sends.
+type uploadRequest struct {
+	id      string
+	size    int
+	chunked bool
+	wait    time.Duration // of the client, after its last byte
+}
+
+// head returns the head of the request.
+func (r uploadRequest) head() string {
+	framing := fmt.Sprint("Content-Length: ", r.size)
+	if r.chunked {
 		framing = "Transfer-Encoding: chunked"
 	}
-	head := fmt.Sprintf("POST /pay/a HTTP/1.1\r\nHost: h\r\nReq-Id: up\r\nReq-Deadline-Ms: %d\r\n%s\r\n\r\n",
-		uploadDeadline.Milliseconds(), framing)
+	return fmt.Sprintf("POST /pay/a HTTP/1.1\r\nHost: h\r\nReq-Id: %s\r\nReq-Deadline-Ms: %d\r\n%s\r\n\r\n",
+		r.id, r.wait.Milliseconds(), framing)
+}
+
+// writeBody sends the whole body.
+func (r uploadRequest) writeBody(conn net.Conn) error {
+	for n := 0; n < r.size; n += pieceSize {
+		data := string(piece[:min(pieceSize, r.size-n)])
+		if r.chunked {
+			data = fmt.Sprintf("%x\r\n%s\r\n", len(data), data)
+		}
+		if _, err := io.WriteString(conn, data); err != nil {
+			return err
+		}
+	}
+	if !r.chunked {
+		return nil
+	}
+	_, err := io.WriteString(conn, "0\r\n\r\n")
+	return err
+}
+
+// upload sends a request at full speed and waits for the answer.
+func upload(conn net.Conn, request uploadRequest) uploadResult {
 	start := time.Now()
 	sent := make(chan time.Time, 1)
 	go func() {
-		_, err := io.WriteString(conn, head)
-		for n := 0; n < size && err == nil; n += pieceSize {
-			data := string(piece)
-			if chunked {
-				data = fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece)
-			}
-			_, err = io.WriteString(conn, data)
-		}
-		if chunked && err == nil {
-			_, err = io.WriteString(conn, "0\r\n\r\n")
+		_, err := io.WriteString(conn, request.head())
+		if err == nil {
+			err = request.writeBody(conn)
 		}
 		if err == nil {
 			sent <- time.Now()
@@ -204,7 +227,7 @@
 					if err != nil {
 						t.Fatal(err)
 					}
-					r := upload(conn, size, chunked)
+					r := upload(conn, uploadRequest{id: "up", size: size, chunked: chunked, wait: uploadDeadline})
 					t.Logf("status %d, %v after the last byte, sent in %v, all sent: %v",
 						r.status, r.afterLast.Round(time.Millisecond), r.sending.Round(time.Millisecond), r.complete)
 					if r.status == 0 || r.complete && r.afterLast > uploadDeadline+answerSlack {
