End every step of a long upload at its client's present deadline

Cause: a wait on one peer was bounded by a time that had been computed once, for another purpose. While a client sends a long body, the time at which it stops waiting is not known. The attempt therefore began with the time that the whole upload may take at the minimum rate (hundreds of seconds for chunks), and only the part that is read from the client was held to the client's time: the head, the part in memory, the last chunk, the dial, the queue and the Balancer's own timer were not. Evidence: 'phase=writing_parts' in the log of all unanswered uploads of the reproduction, with 480 to 830 KB written.

The pool tells the Balancer before it decides (SetDeadline), so queue, retries and its timer keep to it; an upload that was not written completely is rejected, since it has not run. An endpoint's early answer or close is now seen while a write blocks. The shutdown's deadline ends writes.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -133,9 +133,7 @@
 		inFlight:     true,
 		trial:        !e.active,
 	}
-	if req.Streamed {
-		a.stragglingAt = req.Deadline // until RequestWritten: the endpoint is still receiving the body
-	}
+	a.unwritten = req.Streamed // until RequestWritten: the endpoint is still receiving the body
 	if e.active {
 		b.chargeDeficit(req, e)
 	}
@@ -159,7 +157,9 @@
 		req.hedgeAt = now + delay
 		b.scheduleWakeUp(req.hedgeAt)
 	}
-	b.scheduleWakeUp(a.stragglingAt)
+	if !a.unwritten {
+		b.scheduleWakeUp(a.stragglingAt)
+	}
 }
 
 // rejectOrFail gives a request its final answer: a rejection if a retry by the client is harmless,
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -35,19 +35,35 @@
 		return
 	}
 	a.sentAt = now
+	a.unwritten = false
 	a.stragglingAt = now + b.stragglingDelay(req, a.endpoint)
 	b.limiter.start(a)
 	b.scheduleWakeUp(a.stragglingAt)
 }
 
+// SetDeadline changes the deadline of a request without a final answer. While a client sends a long
+// body, the time at which it stops waiting is not known yet, and moves on.
+func (b *Balancer) SetDeadline(now time.Duration, id string, deadline time.Duration) {
+	req := b.requests[id]
+	if req == nil || req.answered || req.Deadline == deadline {
+		return
+	}
+	b.setDeadline(now, req, deadline)
+}
+
+// setDeadline sets the deadline of a request and schedules what depends on it.
+func (b *Balancer) setDeadline(now time.Duration, req *request, deadline time.Duration) {
+	req.Deadline = deadline
+	req.giveUpAt = b.giveUpBefore(deadline)
+	b.scheduleWakeUp(max(b.nextCheckAt(req), now))
+}
+
 // CapDeadlines limits the deadlines of all requests without a final answer to latest, after which
 // an answer would be of no use.
 func (b *Balancer) CapDeadlines(now, latest time.Duration) {
 	for _, req := range b.unanswered {
 		if req.Deadline > latest {
-			req.Deadline = latest
-			req.giveUpAt = b.giveUpBefore(latest)
-			b.scheduleWakeUp(max(b.nextCheckAt(req), now))
+			b.setDeadline(now, req, latest)
 		}
 	}
 }
--- a/balancer/requests.go
+++ b/balancer/requests.go
@@ -14,6 +14,7 @@
 	sentAt            time.Duration // the same; for a streamed request, the instant of RequestWritten
 	stragglingAt      time.Duration // instant of the next check for straggling
 	inFlight          bool          // has no outcome yet
+	unwritten         bool          // of a streamed request: the host has not reported RequestWritten
 	mayHaveRun        bool          // has ended, and the request may have run
 	trial             bool          // its endpoint was inactive when it was sent
 	straggling        bool          // was found to be straggling
@@ -51,6 +52,12 @@
 	return max(timeout, time.Microsecond)
 }
 
+// isBeingWritten reports whether an attempt of a streamed request is in flight that has not been
+// written completely.
+func (r *request) isBeingWritten() bool {
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.inFlight && a.unwritten })
+}
+
 // attemptInFlight returns attempt n if it is in flight, otherwise nil. The request may be nil.
 func (r *request) attemptInFlight(n int) *attempt {
 	if r == nil || n < 0 || n >= len(r.attempts) || !r.attempts[n].inFlight {
--- a/balancer/timers.go
+++ b/balancer/timers.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// unwrittenGrace is how long after the deadline of a request its attempt may still end as one that
+// was not written completely.
+const unwrittenGrace = 150 * time.Millisecond
+
 // Timer implements Events. Timers cannot be canceled: one that fires before the next wake-up is
 // stale and is ignored.
 func (b *Balancer) Timer(now time.Duration) {
@@ -33,7 +37,7 @@
 
 // nextCheckAt returns the next instant at which something may be due for a request.
 func (b *Balancer) nextCheckAt(req *request) time.Duration {
-	at := req.giveUpAt
+	at := b.giveUpTime(req)
 	if req.queued {
 		at = b.queueDeadline(req)
 	}
@@ -41,7 +45,7 @@
 		at = min(at, req.hedgeAt)
 	}
 	for i := range req.attempts {
-		if req.attempts[i].inFlight {
+		if req.attempts[i].inFlight && !req.attempts[i].unwritten {
 			at = min(at, req.attempts[i].stragglingAt)
 		}
 	}
@@ -56,7 +60,7 @@
 		b.host.Subscribe()
 	}
 	for _, req := range slices.Clone(b.unanswered) {
-		if now >= req.giveUpAt || req.queued && now >= b.queueDeadline(req) {
+		if now >= b.giveUpTime(req) || req.queued && now >= b.queueDeadline(req) {
 			b.giveUp(now, req)
 			continue
 		}
@@ -64,7 +68,7 @@
 			b.hedge(now, req)
 		}
 		for i := range req.attempts {
-			if a := &req.attempts[i]; a.inFlight && now >= a.stragglingAt {
+			if a := &req.attempts[i]; a.inFlight && !a.unwritten && now >= a.stragglingAt {
 				b.handleStraggler(now, req, a)
 			}
 		}
@@ -72,6 +76,16 @@
 	b.dispatchQueue(now)
 }
 
+// giveUpTime returns the instant at which the Balancer gives up on a request. The host ends an
+// attempt at the deadline while it is still writing the request, and then reports that the request
+// has not run, so that it can be rejected. The Balancer waits a little for that.
+func (b *Balancer) giveUpTime(req *request) time.Duration {
+	if req.isBeingWritten() {
+		return req.giveUpAt + unwrittenGrace
+	}
+	return req.giveUpAt
+}
+
 // giveUp rejects or fails a request that can no longer be answered in time or has waited for
 // capacity for too long.
 func (b *Balancer) giveUp(now time.Duration, req *request) {
--- a/internal/connpool/acquire.go
+++ b/internal/connpool/acquire.go
@@ -75,7 +75,7 @@
 // when the attempt is canceled. No lock is held during the dial: checkBeforeWrite detects what has
 // changed meanwhile.
 func (p *Pool) dialReserved(a *Attempt, r reservation) (*conn, error) {
-	ctx, cancel := context.WithDeadline(context.Background(), a.Deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), a.endsAt())
 	defer cancel()
 	ctx, cancelDial := context.WithTimeout(ctx, r.dialTimeout)
 	defer cancelDial()
--- a/internal/connpool/attempt.go
+++ b/internal/connpool/attempt.go
@@ -20,10 +20,12 @@
 	OnRequestWritten   func()      // called when a request with a long body has been written completely; may be nil
 	ClientDisconnected func() bool // reports whether the client has disconnected; must not block. nil: unknown
 
+	request  *Request // set by RoundTrip
 	progress Progress // of the goroutine in RoundTrip
 
 	mu             sync.Mutex // guards the fields below; held while inProgress is closed, which doesn't block
 	canceled       bool
+	latestEnd      time.Time // see CapDeadline; zero: none
 	requestWritten bool      // the request has been written completely: from now on it may run
 	inProgress     io.Closer // closed by a cancellation; nil: nothing is in progress that could be canceled
 }
@@ -75,6 +77,24 @@
 	}
 }
 
+// CapDeadline limits the time that the attempt may take to write a long request. It may be called
+// at any time.
+func (a *Attempt) CapDeadline(latest time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.latestEnd = latest
+}
+
+// cap returns a time, or the one given to CapDeadline if that is earlier.
+func (a *Attempt) cap(end time.Time) time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.latestEnd.IsZero() {
+		return end
+	}
+	return earlier(end, a.latestEnd)
+}
+
 // markRequestWritten records that the request has been written completely.
 func (a *Attempt) markRequestWritten() {
 	a.mu.Lock()
--- a/internal/connpool/errors.go
+++ b/internal/connpool/errors.go
@@ -95,6 +95,8 @@
 	errClientDisconnected  = errors.New("client disconnected before anything was sent")
 	errStaleConn           = errors.New("connection was closed, or received input, before anything was sent")
 	errWriteFailed         = errors.New("connection broke before the request was written completely")
+	errWriteTimedOut       = errors.New("endpoint did not read the request in time")
+	errDeadlinePassed      = errors.New("deadline passed before anything was sent")
 	errTooManyFields       = errors.New("response head has too many fields")
 	errNoHeadMemory        = errors.New("there is no memory for the fields of the response head")
 	errEarlyResponse       = errors.New("input arrived before the request was written completely")
--- a/internal/connpool/exchange.go
+++ b/internal/connpool/exchange.go
@@ -12,10 +12,6 @@
 	"rowancart/internal/sharedbody"
 )
 
-// earlyResponseTimeout limits how long reading a response may take if writing the request failed
-// before a byte of the response had been seen.
-const earlyResponseTimeout = 200 * time.Millisecond
-
 // exchangeResult is the outcome of an exchange.
 type exchangeResult struct {
 	response Response
@@ -30,6 +26,7 @@
 // returns, so that this attempt and a retry are never in flight at the same time. If the response
 // has a Stream, the Stream owns the connection from then on.
 func (p *Pool) RoundTrip(a *Attempt, endpoint string, req *Request) (Response, error) {
+	a.request = req
 	for {
 		a.progress = Progress{Phase: Connecting}
 		c, err := p.acquireConn(a, endpoint)
@@ -105,6 +102,9 @@
 	if !p.isCurrent(c) {
 		return errEndpointNotCurrent
 	}
+	if !time.Now().Before(a.endsAt()) {
+		return errDeadlinePassed
+	}
 	if err := a.limitWrites(c); err != nil {
 		return err
 	}
@@ -195,10 +195,10 @@
 	if errors.Is(writeErr, errUploadFailed) || errors.Is(writeErr, errBodyUnavailable) {
 		return Response{}, a.failure(NotSent, writeErr) // not a failure of the endpoint
 	}
-	if !req.Body.IsLong() || a.isCanceled() {
+	if !req.Body.IsLong() || a.isCanceled() || errors.Is(writeErr, errWriteTimedOut) {
 		return Response{}, a.failure(ConnectFailed, writeErr)
 	}
-	early, err := p.readEarlyResponse(c, req, earlyResponseDeadline(a, req, writeErr))
+	early, err := p.readEarlyResponse(c, req, a.earlyResponseEndsAt(errors.Is(writeErr, errEarlyResponse)))
 	switch {
 	case err != nil:
 		return Response{}, a.failure(ConnectFailed, writeErr)
@@ -220,16 +220,6 @@
 	return p.evaluateResponse(early)
 }
 
-// earlyResponseDeadline returns the time by which an early response must have been read, unless it
-// is streamed. If its first bytes have arrived, the endpoint has the time of the client for the
-// rest.
-func earlyResponseDeadline(a *Attempt, req *Request, writeErr error) time.Time {
-	if errors.Is(writeErr, errEarlyResponse) {
-		return earlier(a.Deadline, time.Now().Add(req.ClientTimeout))
-	}
-	return time.Now().Add(earlyResponseTimeout)
-}
-
 // readEarlyResponse reads a response that may have arrived before the request was written
 // completely.
 func (p *Pool) readEarlyResponse(c *conn, req *Request, deadline time.Time) (Response, error) {
--- a/internal/connpool/longbody.go
+++ b/internal/connpool/longbody.go
@@ -11,31 +11,47 @@
 	"rowancart/internal/sharedbody"
 )
 
-// uploadCheckInterval is the time between two checks of the client's deadline while an endpoint
-// does not read the upload.
-const uploadCheckInterval = 100 * time.Millisecond
-
 // writeLongRequest writes a request with a long body. Data that is read from the client is written
 // before more is read, so that a slow endpoint slows the client down and no data accumulates in
-// this process. If a part of the body was still to be read from the client, the attempt's deadline
-// becomes the client's, which is known only once the body has been sent.
+// this process. Afterwards the attempt's deadline is fixed, also if it moved while the client sent
+// the body.
 func (c *conn) writeLongRequest(a *Attempt, req *Request, body *sharedbody.Lease) error {
-	timeout := time.Until(a.Deadline)
-	if body.HasRest() {
-		timeout = time.Until(req.clientDeadline(body))
-	}
-	c.writeBuffer = req.appendHead(c.writeBuffer[:0], timeout)
-	if err := c.writeAll(c.writeBuffer); err != nil {
+	c.writeBuffer = req.appendHead(c.writeBuffer[:0], time.Until(a.endsAt()))
+	if err := c.writeLong(a, c.writeBuffer); err != nil {
 		return err
 	}
 	if err := c.writeLongBody(a, req, body); err != nil {
 		return err
 	}
-	if body.HasRest() {
-		a.Deadline = req.clientDeadline(body)
-		// An error means that the attempt was canceled, and reading the response then fails too. The
-		// request has been written and may run, so the error must not be reported as a failed write.
-		_ = c.SetDeadline(a.Deadline)
+	a.Deadline = a.endsAt()
+	// An error means that the attempt was canceled, and reading the response then fails too. The
+	// request has been written and may run, so the error must not be reported as a failed write.
+	_ = c.SetDeadline(a.Deadline)
+	return nil
+}
+
+// writeLong writes a piece of a long request. While the endpoint does not read, it checks every
+// uploadCheckInterval whether the time of the client is over, and returns errWriteTimedOut then. It
+// returns errEarlyResponse if the endpoint has responded or closed the connection meanwhile.
+func (c *conn) writeLong(a *Attempt, data []byte) error {
+	start := time.Now()
+	for len(data) > 0 {
+		if c.SetWriteDeadline(earlier(time.Now().Add(uploadCheckInterval), a.writeEndsAt(start))) != nil {
+			return errWriteFailed
+		}
+		n, err := c.Write(data)
+		c.written += int64(n)
+		data = data[n:]
+		switch {
+		case len(data) == 0:
+			return nil
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return fmt.Errorf("%w: %w", errWriteFailed, err)
+		case c.hasPendingInput():
+			return errEarlyResponse
+		case !time.Now().Before(a.writeEndsAt(start)):
+			return fmt.Errorf("%w: %w", errWriteTimedOut, err)
+		}
 	}
 	return nil
 }
@@ -93,7 +109,7 @@
 	for len(part) > 0 {
 		n := copy(w.buffer.Data(), part)
 		part = part[n:]
-		if err := w.conn.writeAll(w.framedPiece(n)); err != nil {
+		if err := w.conn.writeLong(w.attempt, w.framedPiece(n)); err != nil {
 			return err
 		}
 	}
@@ -132,7 +148,7 @@
 	if w.request.Body.Length() >= 0 {
 		return nil
 	}
-	return w.conn.writeAll([]byte(http1.LastChunk))
+	return w.conn.writeLong(w.attempt, []byte(http1.LastChunk))
 }
 
 // writePiece writes the first n bytes of the piece, which have just been read from the client. It
@@ -141,34 +157,5 @@
 	if w.conn.hasPendingInput() {
 		return errEarlyResponse
 	}
-	start := time.Now()
-	for data := w.framedPiece(n); len(data) > 0; {
-		stallDeadline := w.stallDeadline(start)
-		if w.conn.SetWriteDeadline(earlier(time.Now().Add(uploadCheckInterval), stallDeadline)) != nil {
-			return errWriteFailed
-		}
-		written, err := w.conn.Write(data)
-		w.conn.written += int64(written)
-		data = data[written:]
-		mayContinue := errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(stallDeadline)
-		if len(data) > 0 && !mayContinue {
-			return fmt.Errorf("%w: %w", errWriteFailed, err)
-		}
-	}
-	return nil
-}
-
-// stallDeadline returns the time by which the endpoint must have read a piece whose write began at
-// start. It has to be computed again during the write, because the client's deadline is not fixed
-// until the client has sent the complete body.
-func (w *bodyWriter) stallDeadline(start time.Time) time.Time {
-	return earlier(start.Add(http1.StreamIdleTimeout), w.request.clientDeadline(w.body))
-}
-
-// earlier returns the earlier of two times.
-func earlier(s, t time.Time) time.Time {
-	if t.Before(s) {
-		return t
-	}
-	return s
+	return w.conn.writeLong(w.attempt, w.framedPiece(n))
 }
--- a/internal/connpool/messages.go
+++ b/internal/connpool/messages.go
@@ -26,12 +26,6 @@
 	ClientTimeout time.Duration      // how long the client waits, once it has sent the last byte of a long body
 }
 
-// clientDeadline returns the earliest time at which the client of a request, part of whose body is
-// still to be read from it, may stop waiting: its timeout counts from when it sent the last byte.
-func (r *Request) clientDeadline(body *sharedbody.Lease) time.Time {
-	return body.SentAt().Add(r.ClientTimeout)
-}
-
 // Response is an endpoint's response.
 type Response struct {
 	Status int
--- a/internal/connpool/response.go
+++ b/internal/connpool/response.go
@@ -12,10 +12,8 @@
 	"rowancart/internal/membudget"
 )
 
-const (
-	unreservedBody = 4 << 10               // bytes of a body that are buffered without a reservation of memory
-	streamAfter    = 50 * time.Millisecond // after which a body of unknown length that has not ended is streamed
-)
+// unreservedBody is how many bytes of a body are buffered without a reservation of memory.
+const unreservedBody = 4 << 10
 
 // responseReader reads one response from a connection. The connection's own deadline bounds its
 // reads.
--- a/internal/connpool/stream.go
+++ b/internal/connpool/stream.go
@@ -32,7 +32,7 @@
 
 // Read implements io.Reader. An error other than io.EOF means that the response is incomplete.
 func (s *Stream) Read(p []byte) (int, error) {
-	if s.conn.SetReadDeadline(time.Now().Add(http1.StreamIdleTimeout)) != nil {
+	if s.conn.SetReadDeadline(streamReadEndsAt()) != nil {
 		s.readErr = errConnClosed
 		return 0, s.readErr
 	}
--- a/internal/connpool/upload_test.go
+++ b/internal/connpool/upload_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -306,3 +307,58 @@
 		})
 	}
 }
+
+// stuckRest is the rest of a body whose last byte the client sent at sentAt.
+type stuckRest struct {
+	io.Reader
+	sentAt time.Time
+}
+
+func (r stuckRest) SentAt() time.Time { return r.sentAt }
+func (r stuckRest) Interrupt()        {}
+
+// Guards against an attempt that outlasts the client's time in a step that is bounded by another.
+func TestStuckUploadEndsAtTheClientsDeadline(t *testing.T) {
+	const clientTimeout = 300 * time.Millisecond
+	inMemory := [][]byte{bytes.Repeat([]byte{'a'}, uploadParts*uploadPartSize)}
+	for name, parts := range map[string][][]byte{"in the part in memory": inMemory, "in the rest": nil} {
+		t.Run(name, func(t *testing.T) {
+			p := newUploadPool(t, startUploadEndpoint(t)) // it does not read the body
+			u := newUpload()
+			u.request.ClientTimeout = clientTimeout
+			start := time.Now()
+			u.request.Body = sharedbody.NewLong(sharedbody.Long{
+				Length: -1, Parts: parts, Rest: stuckRest{bytes.NewReader(u.sent), start},
+			})
+			kind, _ := roundTrip(t, p, attemptWithin(waitTimeout), "a", u.request)
+			if took := time.Since(start); kind != ConnectFailed || took > 2*clientTimeout {
+				t.Errorf("outcome %v after %v, want %v within %v", kind, took, ConnectFailed, 2*clientTimeout)
+			}
+		})
+	}
+}
+
+// lateEnd is a reader whose end comes a while after its data.
+type lateEnd struct{ io.Reader }
+
+func (r lateEnd) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		time.Sleep(3 * uploadCheckInterval)
+	}
+	return n, err
+}
+
+// Guards against a last chunk that is written under the deadline of the piece before it.
+func TestLastChunkMayComeLate(t *testing.T) {
+	e := startUploadEndpoint(t)
+	close(e.resume)
+	p := newUploadPool(t, e)
+	u := newUpload()
+	u.request.Body = sharedbody.NewLong(sharedbody.Long{
+		Length: -1, Rest: &testRest{reader: lateEnd{strings.NewReader("body")}},
+	})
+	if kind, _ := roundTrip(t, p, attemptWithin(waitTimeout), "a", u.request); kind != succeeded {
+		t.Errorf("outcome %v, want success", kind)
+	}
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -24,7 +24,7 @@
 	now := p.clock.now()
 	a := &attempt{call: c, number: len(c.attempts), endpoint: endpoint, startedAt: now, sentAt: now}
 	a.control.ClientDisconnected = c.ClientDisconnected
-	a.control.Deadline = time.Now().Add(min(timeout, c.Deadline-now))
+	a.control.Deadline = time.Now().Add(p.attemptTimeLimit(c, timeout))
 	if writeBy := p.balancer.RetryDeadline(c.ID); writeBy > 0 {
 		a.control.WriteBy = time.Now().Add(writeBy - now)
 	}
@@ -149,6 +149,7 @@
 		p.finishCall(c, Result{Kind: Served, Response: response})
 	}
 	c.mayHaveRun = c.mayHaveRun || !provesNotRun(r)
+	p.refreshDeadline(now, c)
 	if !c.finished && c.message.Body.Consumed() && c.attemptsInFlight == 0 {
 		p.finishNotReplayable(c) // no other attempt is possible, regardless of the Balancer's decision
 	}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -49,9 +49,10 @@
 	inlineAttempts chan *attempt // passes attempts to the goroutine in Do; has capacity 1
 
 	// The following fields are guarded by Pool.mu.
-	finished         bool // the call has its result
-	mayHaveRun       bool // an attempt has ended that does not prove that the request has not run
-	canRunInline     bool // Do is waiting and attempts can be canceled, so Do may run one without delaying a result
+	timeLimit        time.Duration // instant by which the call must end, even if its client still sends
+	finished         bool          // the call has its result
+	mayHaveRun       bool          // an attempt has ended that does not prove that the request has not run
+	canRunInline     bool          // Do is waiting and attempts can be canceled, so Do may run one without delaying a result
 	attempts         []*attempt
 	attemptsInFlight int
 }
@@ -98,9 +99,8 @@
 		c.results <- Result{Kind: Duplicate}
 		return
 	}
-	if p.finalDeadline > 0 {
-		c.Deadline = min(c.Deadline, p.finalDeadline)
-	}
+	c.timeLimit = c.Deadline
+	c.Deadline = p.currentDeadline(now, c)
 	c.canRunInline = p.cancelAllowed
 	p.events.Request(now, c.Request)
 }
--- a/internal/proxy/callset.go
+++ b/internal/proxy/callset.go
@@ -6,6 +6,7 @@
 // Pool.mu.
 type callSet struct {
 	byID      map[string]*Call
+	moving    map[*Call]bool // calls whose deadline moves, see Pool.currentDeadline
 	recentIDs *recentids.Set
 	idScope   string // see Options.IDScope
 }
@@ -16,7 +17,7 @@
 	if recent == nil {
 		recent = recentids.New()
 	}
-	return callSet{byID: map[string]*Call{}, recentIDs: recent, idScope: o.IDScope}
+	return callSet{byID: map[string]*Call{}, moving: map[*Call]bool{}, recentIDs: recent, idScope: o.IDScope}
 }
 
 // scopedID returns the id under which a call is kept among the recent ids. Its parts are separated
@@ -35,6 +36,9 @@
 		return false
 	}
 	s.byID[c.ID] = c
+	if c.message.HasMovingDeadline() {
+		s.moving[c] = true
+	}
 	return true
 }
 
@@ -48,6 +52,7 @@
 // unless no attempt was made: such calls must not push the ids of others out.
 func (s *callSet) remove(c *Call) {
 	delete(s.byID, c.ID)
+	delete(s.moving, c)
 	if len(c.attempts) == 0 {
 		s.recentIDs.Remove(s.scopedID(c))
 	}
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -141,6 +141,7 @@
 // requested meanwhile are left for a later event, even if they are already due, so that timers
 // cannot starve other events. p.mu must be held.
 func (p *Pool) fireDueTimers(now time.Duration) {
+	p.refreshDeadlines(now)
 	for range p.timer.takeDue(now) {
 		p.events.Timer(now)
 	}
@@ -155,6 +156,8 @@
 func (p *Pool) SetFinalDeadline(at time.Duration) {
 	p.handleEvent(func(now time.Duration) {
 		p.finalDeadline = at
+		p.refreshDeadlines(now)
+		p.capAttempts(now, at)
 		p.balancer.CapDeadlines(now, at)
 	})
 }
--- a/internal/proxy/upload_test.go
+++ b/internal/proxy/upload_test.go
@@ -9,6 +9,7 @@
 
 	"rowancart/balancer"
 	"rowancart/internal/sharedbody"
+	"rowancart/internal/testpeer"
 )
 
 // testRest is the rest of a body, whose last byte has just been sent.
@@ -100,3 +101,42 @@
 		t.Errorf("got result %+v, want kind Failed and reason %s", r, BodyNotReplayable)
 	}
 }
+
+// sentRest is the rest of a body whose last byte the client has sent at a known time.
+type sentRest struct {
+	testRest
+	at time.Time
+}
+
+func (r sentRest) SentAt() time.Time { return r.at }
+
+// Guards against an upload that is sent to one endpoint after another past its client's time.
+func TestStuckUploadIsRejectedAtTheClientsDeadline(t *testing.T) {
+	const clientTimeout = 300 * time.Millisecond
+	release := make(chan bool)
+	defer close(release)
+	accept := func() string {
+		l := testpeer.ListenWithSmallBuffer(t)
+		go func() {
+			for {
+				nc, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() { <-release; nc.Close() }()
+			}
+		}()
+		return l.Addr().String()
+	}
+	p := newTestPool(t, balancer.Settings{CancelAllowed: true}, accept(), accept(), accept())
+	c := p.newUploadCall("r1", "non-idempotent")
+	c.message.ClientTimeout = clientTimeout
+	start := time.Now()
+	c.message.Body = sharedbody.NewLong(sharedbody.Long{
+		Length: -1, Parts: [][]byte{make([]byte, 4<<20)}, Rest: sentRest{at: start},
+	})
+	result := p.Do(c)
+	if took := time.Since(start); result.Kind != Rejected || took > 2*clientTimeout {
+		t.Errorf("result %v after %v, want a rejection within %v", result.Kind, took, 2*clientTimeout)
+	}
+}
--- a/internal/sharedbody/sharedbody.go
+++ b/internal/sharedbody/sharedbody.go
@@ -84,6 +84,10 @@
 // HasRest reports whether a part of the body is read from the client while it is written.
 func (b *Body) HasRest() bool { return b != nil && b.rest != nil }
 
+// SentAt returns the earliest time at which the client can have sent the last byte of the body, see
+// Rest. The body must have a rest.
+func (b *Body) SentAt() time.Time { return b.rest.SentAt() }
+
 // Consumed reports whether the body can't be sent again, because reading the part of it that is not
 // in memory has begun.
 func (b *Body) Consumed() bool {
@@ -156,10 +160,6 @@
 // HasRest reports whether a part of the body follows that is read from the client.
 func (l *Lease) HasRest() bool { return l.body.rest != nil }
 
-// SentAt returns the earliest time at which the client can have sent the last byte of the body, see
-// Rest. The lease must have a rest.
-func (l *Lease) SentAt() time.Time { return l.body.rest.SentAt() }
-
 // StartRest returns the rest of the body, which the lease must have, and gives up the part in
 // memory. The body can't be sent again after that.
 func (l *Lease) StartRest() io.Reader {
