Do not take the pauses of a slow endpoint for those of the client

Clients of uploads that an endpoint read at 400 kB/s got 400 some 3.1 s after their last byte.

The pause now counts from when the client fell silent, and the time in which nothing was read is not the client's.

--- a/internal/httpserver/bodypace_test.go
+++ b/internal/httpserver/bodypace_test.go
@@ -57,3 +57,24 @@
 		}
 	}
 }
+
+// Guards against a slow endpoint whose pauses are taken for the client's.
+func TestPauseOfTheEndpointIsNotTheClients(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name    string
+		silence time.Duration // of the client, up to the read
+		want    time.Duration // from the beginning of the read to its deadline
+	}{
+		{"data is waiting", 0, maxBodyPause},
+		{"the client is silent for a second", time.Second, maxBodyPause - time.Second},
+	} {
+		const received, held = 100 * minBodyRate, 10 * time.Second
+		p := bodyPace{requestStart: start, bodyStart: start, lastRead: start, received: received}
+		now := start.Add(held)
+		p.beginRead(now, c.silence)
+		if got := p.nextDeadline().Sub(now); got != c.want {
+			t.Errorf("%s: the next data must arrive within %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/httpserver/bodysource.go
+++ b/internal/httpserver/bodysource.go
@@ -18,6 +18,9 @@
 // setReadDeadline sets the deadline of the next read. It returns errBodyAbandoned if the body was
 // abandoned: this deadline may have replaced the one that was to interrupt the read.
 func (s *bodySource) setReadDeadline() error {
+	if now := time.Now(); now.Sub(s.pace.lastRead) > minUnreadWait {
+		s.pace.beginRead(now, s.silence())
+	}
 	if err := s.reader.Conn.SetReadDeadline(s.pace.nextDeadline()); err != nil {
 		return err
 	}
@@ -27,6 +30,14 @@
 	return nil
 }
 
+// silence returns for how long the client has sent nothing, or 0 if data of it is waiting.
+func (s *bodySource) silence() time.Duration {
+	if s.reader.socket.unreadBytes() > 0 {
+		return 0
+	}
+	return s.reader.socket.unreadAge()
+}
+
 // isInterruption reports whether a read has failed because the body was abandoned. The client is
 // not to blame for that.
 func (s *bodySource) isInterruption(err error) bool {
