Keep the time of an upload's last byte after its buffers have run empty

Cause: the log of arrivals, which bounds when the client can have sent a byte, began anew whenever the receive buffer was not full. But the buffer is nearly empty for a moment each time that it is read faster than the kernel announces more space, while megabytes wait in the client's kernel. A trace showed 5 such moments in 3 ms. Now the log begins anew only once reads have waited for the client for 5 ms in a row, or it has been silent for 20 ms with nothing unread.

SentAt waits for nobody. It replaces the check for a full receive buffer.

--- a/internal/httpserver/arrivallog.go
+++ b/internal/httpserver/arrivallog.go
@@ -16,18 +16,23 @@
 	total int64
 }
 
-// arrivalLog records how much of a body had arrived at which time, while the receive buffer is
-// full. Then the client may have sent up to maxSendBuffer bytes more than have arrived. The log
-// answers since when the client can have sent a byte that has not arrived yet.
+// arrivalLog records how much of a body had arrived at which time since the client was last seen to
+// be waited for. While it is not waited for, it may have sent up to maxSendBuffer bytes more than
+// have arrived. The log answers since when the client can have sent a byte.
 type arrivalLog struct {
 	entries []arrival // oldest first; those before the latest that matters are dropped
+	begunAt time.Time // when the log began anew
 }
 
-// record records that total bytes have arrived. If the receive buffer is not full, everything that
-// the client has sent has arrived, and the log begins anew.
-func (l *arrivalLog) record(now time.Time, total int64, isFull bool) {
-	if !isFull || len(l.entries) == 0 {
-		l.entries = append(l.entries[:0], arrival{now, total})
+// record records that total bytes have arrived. caughtUpAt is the latest time at which everything
+// that the client had sent had arrived: if the log began before that, it begins anew.
+func (l *arrivalLog) record(now time.Time, total int64, caughtUpAt time.Time) {
+	if len(l.entries) == 0 || caughtUpAt.After(l.begunAt) {
+		l.begunAt = caughtUpAt
+		if caughtUpAt.IsZero() {
+			caughtUpAt = now
+		}
+		l.entries = append(l.entries[:0], arrival{caughtUpAt, total})
 		return
 	}
 	if total-l.entries[len(l.entries)-1].total >= arrivalStep {
--- a/internal/httpserver/bodysource.go
+++ b/internal/httpserver/bodysource.go
@@ -12,6 +12,7 @@
 type bodySource struct {
 	reader    *connReader
 	pace      bodyPace
+	catchUp   catchUp
 	abandoned atomic.Bool // no further read may begin, and one in progress is interrupted
 }
 
@@ -55,9 +56,7 @@
 	if err := s.setReadDeadline(); err != nil {
 		return err
 	}
-	err := s.reader.fill()
-	s.pace.lastRead = time.Now()
-	return err
+	return s.observe(s.reader.fill)
 }
 
 // Read implements http1.Source. If nothing is buffered, it reads from the connection directly into
@@ -70,10 +69,25 @@
 	if err := s.setReadDeadline(); err != nil {
 		return 0, err
 	}
-	n, err := s.reader.Read(p)
-	s.pace.lastRead = time.Now()
+	n := 0
+	err := s.observe(func() (err error) {
+		n, err = s.reader.Read(p)
+		return err
+	})
 	if n > 0 {
 		return n, nil
 	}
 	return n, err
 }
+
+// observe calls a function that reads from the connection, and records when it ended and whether it
+// waited for the client.
+func (s *bodySource) observe(read func() error) error {
+	wasEmpty := s.reader.socket.unreadBytes() == 0
+	began := time.Now()
+	err := read()
+	now := time.Now()
+	s.pace.lastRead = now
+	s.catchUp.observeRead(now, wasEmpty, now.Sub(began))
+	return err
+}
--- a/internal/httpserver/socket.go
+++ b/internal/httpserver/socket.go
@@ -15,10 +15,6 @@
 	tcpInfoLastDataRecv = 52
 	tcpInfoSize         = tcpInfoLastDataRecv + 4
 
-	// fullBufferDivisor gives the part of a receive buffer that is full of unread data when the kernel
-	// may announce no more space to the client: a part of the buffer is for the kernel's own data.
-	fullBufferDivisor = 4
-
 	// maxUnreadAge is the longest plausible age of unread data. A higher age is treated as unknown.
 	maxUnreadAge = time.Minute
 )
@@ -75,19 +71,6 @@
 	return int64(max(n, 0))
 }
 
-// isReceiveBufferFull reports whether unread bytes fill so much of the receive buffer that the
-// client may be kept from sending more. It returns false if the size of the buffer is unknown.
-func (s socket) isReceiveBufferFull(unread int64) bool {
-	if s.rawConn == nil || unread == 0 {
-		return false
-	}
-	size := 0
-	_ = s.rawConn.Control(func(fd uintptr) { // if it fails, size stays 0
-		size, _ = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF)
-	})
-	return size > 0 && unread >= int64(size/fullBufferDivisor)
-}
-
 // hasUnreadBytes reports whether data has been received and not read.
 func (s socket) hasUnreadBytes() bool {
 	if s.rawConn == nil {
--- a/internal/httpserver/streamedbody.go
+++ b/internal/httpserver/streamedbody.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"sync/atomic"
 	"time"
 
 	"rowancart/internal/membudget"
@@ -21,7 +22,9 @@
 	receivedAhead int64              // bytes received before the rest is streamed
 	sentAt        time.Time          // result of SentAt, once the last byte is known to have arrived; zero before
 
-	arrivals arrivalLog
+	arrivals        arrivalLog
+	nothingUnreadAt time.Time                 // latest time at which all data that had arrived was decoded
+	latestSentAt    atomic.Pointer[time.Time] // latest result of SentAt
 
 	buffered [][]byte // from buffers; not changed after bufferAhead
 }
@@ -62,14 +65,14 @@
 
 // SentAt implements sharedbody.Rest. It returns the earliest time at which the client can have sent
 // the last byte of the body, or the current time if the client cannot have sent it yet. While the
-// receive buffer is full, the rest may have been sent long ago, because much of it may still be in
-// the client's own buffers. Once the body is abandoned, the time is unknown: the reader belongs to
-// the connection's goroutine again. While a read is in progress, nothing of the body is waiting to
-// be read, so the client cannot have sent the last byte.
+// client is not waited for, the rest may have been sent long ago, because much of it may still be
+// in the client's own buffers. Once the body is abandoned, the time is unknown: the reader belongs
+// to the connection's goroutine again. While a read is in progress, nothing of the body is waiting
+// to be read, so the client cannot have sent the last byte.
 func (b *streamedBody) SentAt() time.Time {
 	now := time.Now()
 	if !b.mu.TryLock() {
-		return now
+		return b.sentAtDuringRead(now)
 	}
 	defer b.mu.Unlock()
 	if b.source.abandoned.Load() {
@@ -81,18 +84,39 @@
 	unread := b.socket.unreadBytes()
 	sentAt, isKnown := b.arrivalTime(now, unread)
 	total := b.source.pace.received + int64(len(b.source.reader.buffered())) + unread
-	b.arrivals.record(now, total, b.socket.isReceiveBufferFull(unread))
+	b.arrivals.record(now, total, b.caughtUpAt(now, unread))
 	if bound := b.arrivals.earliestSend(now, max(b.length, total)); bound.Before(sentAt) {
 		sentAt = bound
 	}
 	if isKnown {
 		b.sentAt = sentAt
 	}
+	b.latestSentAt.Store(&sentAt)
 	return sentAt
 }
 
+// caughtUpAt returns the latest time at which everything that the client had sent is known to have
+// arrived; zero: it never was.
+func (b *streamedBody) caughtUpAt(now time.Time, unread int64) time.Time {
+	isSilent := unread == 0 && b.socket.unreadAge() >= minUnreadWait
+	if isSilent && !b.ended() {
+		return now
+	}
+	return b.source.catchUp.at
+}
+
+// sentAtDuringRead is SentAt while a read is in progress. If the read waits for the client, the
+// client has sent nothing that was not read. Otherwise the read is about to end.
+func (b *streamedBody) sentAtDuringRead(now time.Time) time.Time {
+	if latest := b.latestSentAt.Load(); latest != nil && b.socket.unreadBytes() > 0 {
+		return *latest
+	}
+	return now
+}
+
 // arrivalTime returns when the last byte of the body arrived and true, or the earliest time at
-// which the client can have sent it if nothing is in the client's own buffers.
+// which the client can have sent it if nothing is in the client's own buffers. Data that has
+// arrived and was not decoded may hold the last byte.
 func (b *streamedBody) arrivalTime(now time.Time, unread int64) (at time.Time, isKnown bool) {
 	reader := b.source.reader
 	isStreaming := b.source.pace.received > b.receivedAhead
@@ -101,12 +125,13 @@
 		return reader.lastArrivedAt, true
 	case b.hasArrived(unread):
 		return now.Add(-b.socket.unreadAge()), true
-	case unread > 0 && isStreaming:
-		return reader.lastArrivedAt, false
-	case unread > 0:
-		return reader.earliestSentAt, false
+	case unread == 0 && !reader.hasData():
+		b.nothingUnreadAt = now
+		return now, false
+	case isStreaming:
+		return later(reader.lastArrivedAt, b.nothingUnreadAt), false
 	}
-	return now, false
+	return later(reader.earliestSentAt, b.nothingUnreadAt), false
 }
 
 // hasArrived reports whether the last byte of a body of known length has arrived, given the number
@@ -152,3 +177,11 @@
 	pace := &b.source.pace
 	return pace.gracePeriod + maxBodyPause + time.Duration(length-pace.received)*time.Second/minBodyRate
 }
+
+// later returns the later of two times.
+func later(s, t time.Time) time.Time {
+	if t.After(s) {
+		return t
+	}
+	return s
+}
