--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -49,10 +49,10 @@
 	inlineAttempts chan *attempt // passes attempts to the goroutine in Do; has capacity 1
 
 	// The following fields are guarded by Pool.mu.
-	timeLimit        time.Duration // instant by which the call must end, even if its client still sends
+	timeLimit        time.Duration // instant by which the call ends, even if its client still sends
 	finished         bool          // the call has its result
 	mayHaveRun       bool          // an attempt has ended that does not prove that the request has not run
-	canRunInline     bool          // Do is waiting and attempts can be canceled, so Do may run one without delaying a result
+	canRunInline     bool          // Do is waiting and attempts can be canceled, so Do may run one at once
 	attempts         []*attempt
 	attemptsInFlight int
 }
