Give 100 Continue a write deadline of its own

A client that sent Expect: 100-continue on a connection that had been idle for 6 s got 400. The interim response was written under the deadline of the response before it, which had passed: the same class as the unanswered uploads, a wait under a deadline that was computed for another. TestContinueAfterAPauseIsWritten failed before (400, want 100).

--- a/internal/httpserver/receivedbody.go
+++ b/internal/httpserver/receivedbody.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"rowancart/internal/membudget"
 	"rowancart/internal/proxy"
@@ -60,6 +62,15 @@
 	return closingRejection(http.StatusBadRequest, "the body can't be read")
 }
 
+// writeContinue tells a client that waits for it to send the body.
+func (c *conn) writeContinue() error {
+	if !c.setWriteDeadline(time.Now()) {
+		return net.ErrClosed
+	}
+	_, err := io.WriteString(c.netConn, "HTTP/1.1 100 Continue\r\n\r\n")
+	return err
+}
+
 // readBody reads a request's body, or the first proxy.MaxBody bytes of a longer one. If there is no
 // memory for that, it reads only the first streamedPrefix bytes.
 func (c *conn) readBody(r *http.Request) (receivedBody, *Rejection) {
@@ -74,7 +85,7 @@
 		return receivedBody{}, nil
 	}
 	if expect != "" && !c.reader.hasData() { // a client that has sent some of the body does not wait for it
-		if _, err := io.WriteString(c.netConn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		if err := c.writeContinue(); err != nil {
 			return receivedBody{}, bodyRejection(err)
 		}
 	}
