Stream an answer of unknown length that begins just before its deadline

An answer without a length is streamed if it has not ended 50 ms after its head; less than 50 ms before the deadline of its attempt it was cut off instead (502). It is streamed 10 ms before the deadline at the latest now.

--- a/internal/connpool/deadline.go
+++ b/internal/connpool/deadline.go
@@ -21,6 +21,9 @@
 
 	// streamAfter is the time after which a body of unknown length that has not ended is streamed.
 	streamAfter = 50 * time.Millisecond
+	// streamMargin is how long before the deadline of its attempt such a body is streamed at the
+	// latest, so that the client gets the beginning of the response in time.
+	streamMargin = 10 * time.Millisecond
 )
 
 // ClientDeadline returns the earliest time at which the client of the request may stop waiting, and
@@ -67,8 +70,13 @@
 	return earlier(a.endsAt(), time.Now().Add(earlyResponseTimeout))
 }
 
-// streamReadEndsAt returns the time by which the endpoint must have sent more of a response that is
-// streamed.
+// streamsAt returns when a body of unknown length that has not ended is streamed, in an attempt
+// with the given deadline.
+func streamsAt(deadline time.Time) time.Time {
+	return earlier(time.Now().Add(streamAfter), deadline.Add(-streamMargin))
+}
+
+// streamReadEndsAt returns the time by which more of a streamed response must arrive.
 func streamReadEndsAt() time.Time { return time.Now().Add(http1.StreamIdleTimeout) }
 
 // earlier returns the earlier of two times.
--- a/internal/connpool/response.go
+++ b/internal/connpool/response.go
@@ -134,8 +134,7 @@
 func (r responseReader) readBodyOfUnknownLength(
 	resp Response, body *http1.Body, f bodyFraming,
 ) (receivedResponse, error) {
-	streamAt := time.Now().Add(streamAfter)
-	if streamAt.Before(r.deadline) && r.conn.SetReadDeadline(streamAt) != nil {
+	if r.conn.SetReadDeadline(streamsAt(r.deadline)) != nil {
 		return receivedResponse{}, errConnClosed
 	}
 	resp.Body = make([]byte, 0, unreservedBody)
@@ -145,7 +144,7 @@
 		if errors.Is(err, io.EOF) {
 			break
 		}
-		if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(r.deadline) {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return r.stream(resp, body, f), nil
 		}
 		if err != nil {
