Soak: stuck and slowly reading endpoints, longer bodies, crowds, series of signals

Now endpoints have an Ethernet's segment size and stop reading, or read at 400 kB/s, for 0.5 to 3 s; bodies have up to 3 MB; idle clients in a third of the runs are a crowd of which half have sent a request; processes end by a series of SIGTERM and SIGHUP.

--- a/internal/soak/clients_test.go
+++ b/internal/soak/clients_test.go
@@ -72,7 +72,11 @@
 	if r.class.idempotency != idempotent {
 		r.body = strings.Repeat("b", c.rng.IntN(300))
 		if c.rng.IntN(longBodyOdds) == 0 {
-			r.body = strings.Repeat("b", minLongBody+c.rng.IntN(maxLongBody-minLongBody))
+			longest := maxLongBody
+			if c.rng.IntN(longestBodyOdds) == 0 {
+				longest = longestBody
+			}
+			r.body = strings.Repeat("b", minLongBody+c.rng.IntN(longest-minLongBody))
 		}
 	}
 	return r
@@ -81,9 +85,11 @@
 // Long bodies are larger than what a sidecar keeps in memory, and larger than the kernel's buffers
 // of one connection.
 const (
-	longBodyOdds = 20        // one in this many bodies is long
-	minLongBody  = 60 << 10  // bytes
-	maxLongBody  = 600 << 10 // bytes
+	longBodyOdds    = 20        // one in this many bodies is long
+	minLongBody     = 60 << 10  // bytes
+	maxLongBody     = 600 << 10 // bytes
+	longestBodyOdds = 3         // one in this many long bodies may have longestBody
+	longestBody     = 3_000_000 // bytes
 )
 
 // isLong reports whether the request's body is so long that its last byte may be sent well after
--- a/internal/soak/endpoints_test.go
+++ b/internal/soak/endpoints_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -42,11 +44,34 @@
 	listener net.Listener // nil: the endpoint is down
 	conns    map[net.Conn]bool
 	failing  bool // three of four requests get a fault
+	reading  readingMode
+}
+
+// readingMode is how an endpoint reads the bodies of requests.
+type readingMode int
+
+const (
+	readAtOnce  readingMode = iota
+	readSlowly              // at slowReadRate
+	readNothing             // beyond stuckAfter bytes, until the mode changes
+)
+
+const (
+	slowReadPiece = 8 << 10               // bytes
+	slowReadPause = 20 * time.Millisecond // after each piece: 400 kB/s
+	stuckAfter    = 16 << 10              // bytes
+)
+
+// listenEndpoint listens on an address whose connections have the segment size of an Ethernet, so
+// that a body that is not read soon blocks its writer.
+func listenEndpoint(addr string) (net.Listener, error) {
+	config := testpeer.ListenConfigWithEthernetMSS()
+	return config.Listen(context.Background(), "tcp", addr)
 }
 
 // startEndpoint starts an endpoint at a new address.
 func startEndpoint(id string, seed uint64, c *checker, stopped <-chan struct{}) (*endpoint, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listenEndpoint("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -98,7 +123,7 @@
 
 // start simulates a new process at the same address, which is warming from now on.
 func (e *endpoint) start() error {
-	l, err := net.Listen("tcp", e.addr)
+	l, err := listenEndpoint(e.addr)
 	if err != nil {
 		return err
 	}
@@ -116,6 +141,53 @@
 	e.failing = failing
 }
 
+func (e *endpoint) setReading(mode readingMode) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reading = mode
+}
+
+func (e *endpoint) readingMode() readingMode {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reading
+}
+
+// readBody reads a body in the endpoint's mode, which may change meanwhile.
+func (e *endpoint) readBody(body io.Reader) ([]byte, error) {
+	var read []byte
+	for piece := make([]byte, slowReadPiece); ; {
+		switch mode := e.readingMode(); {
+		case mode == readNothing && len(read) >= stuckAfter:
+			e.pause(slowReadPause)
+			if e.hasStopped() {
+				return nil, net.ErrClosed
+			}
+			continue
+		case mode == readSlowly && len(read) > 0:
+			e.pause(slowReadPause)
+		}
+		n, err := body.Read(piece)
+		read = append(read, piece[:n]...)
+		switch {
+		case errors.Is(err, io.EOF):
+			return read, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// hasStopped reports whether the run has ended.
+func (e *endpoint) hasStopped() bool {
+	select {
+	case <-e.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
 // draw returns how the endpoint handles the request with this ID. The seed determines it.
 func (e *endpoint) draw(id string) behavior {
 	h := fnv.New64a()
@@ -159,7 +231,7 @@
 			return
 		}
 		headAt := time.Now() // the rules on attempts use this time
-		body, err := io.ReadAll(r.Body)
+		body, err := e.readBody(r.Body)
 		if err != nil {
 			return
 		}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -113,6 +113,20 @@
 	return nil
 }
 
+// stopReading makes an endpoint stop reading bodies, or read them slowly, for 0.5 to 3 s.
+func (f faultInjector) stopReading() error {
+	e := f.endpoints[f.rng.IntN(len(f.endpoints))]
+	mode, name := readNothing, "stuck endpoints"
+	if f.rng.IntN(2) == 0 {
+		mode, name = readSlowly, "slowly reading endpoints"
+	}
+	f.checker.recordEvent(name)
+	e.setReading(mode)
+	f.sleepBetween(500*time.Millisecond, 3000*time.Millisecond)
+	e.setReading(readAtOnce)
+	return nil
+}
+
 // disable disables an endpoint at all sidecars, and enables it later. In between, a sidecar may
 // hand over to a new process, or its shared directory may fail.
 func (f faultInjector) disable() error {
--- a/internal/soak/sidecars_test.go
+++ b/internal/soak/sidecars_test.go
@@ -267,18 +267,23 @@
 	return nil
 }
 
-// terminate sends SIGTERM the given number of times, and SIGKILL if the process still runs after
-// killDelay.
-func (s *sidecar) terminate(p *process, signals int) {
+// terminate sends a series of signals with one SIGTERM or more, and SIGKILL if the process still
+// runs killDelay after the first of them.
+func (s *sidecar) terminate(p *process, series signalSeries) {
 	p.mu.Lock()
 	p.terminated = true
 	p.mu.Unlock()
-	for range signals {
-		_ = p.Process.Signal(syscall.SIGTERM)
+	var killAt <-chan time.Time
+	for _, signal := range series.signals {
+		_ = p.Process.Signal(signal)
+		if signal == syscall.SIGTERM && killAt == nil {
+			killAt = time.After(killDelay)
+		}
+		time.Sleep(series.pause)
 	}
 	select {
 	case <-p.exited:
-	case <-time.After(killDelay):
+	case <-killAt:
 		s.checker.count("killed")
 		_ = p.Process.Kill()
 		<-p.exited
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -13,6 +13,7 @@
 	"sort"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -37,7 +38,7 @@
 	// per second that the clients send, because a sidecar can estimate capacity only from the load
 	// that warm endpoints take.
 	endpointCapacity = 25
-	idleConnCount    = 70                     // a third of a sidecar's descriptors is for clients
+	crowdSize        = 70                     // a third of a sidecar's descriptors is for clients
 	newConnsPeriod   = 400 * time.Millisecond // how long clients still open connections once termination begins
 )
 
@@ -129,7 +130,7 @@
 	r.startClients()
 	rng := rand.New(rand.NewPCG(seed, 1))
 	if rng.IntN(3) == 0 {
-		defer r.openIdleConns()()
+		defer r.openCrowd()()
 	}
 	err := r.injectFaults(rng)
 	r.terminateSidecars(rng)
@@ -195,14 +196,20 @@
 	}
 }
 
-// openIdleConns opens idleConnCount connections to the first sidecar, sends nothing on them, and
-// returns a function that closes them.
-func (r *soakRun) openIdleConns() (closeAll func()) {
+// openCrowd opens crowdSize connections to the first sidecar, sends nothing on them or one health
+// check, and returns a function that closes them.
+func (r *soakRun) openCrowd() (closeAll func()) {
+	r.checker.recordEvent("crowds")
 	var conns []net.Conn
-	for range idleConnCount {
-		if conn, err := net.Dial("tcp", r.sidecars[0].addr); err == nil {
-			conns = append(conns, conn)
+	for i := range crowdSize {
+		conn, err := net.Dial("tcp", r.sidecars[0].addr)
+		if err != nil {
+			continue
+		}
+		if i%2 == 0 {
+			_, _ = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", platform.HealthPath)
 		}
+		conns = append(conns, conn)
 	}
 	return func() {
 		for _, conn := range conns {
@@ -218,6 +225,7 @@
 	peers := faultInjector{r, rand.New(rand.NewPCG(r.seed, rng.Uint64()))}
 	series.Go(func() error {
 		return peers.run(peers.drain, peers.drain, peers.restart, peers.failTemporarily, peers.silenceWatches,
+			peers.stopReading, peers.stopReading,
 			peers.breakWatches, peers.slowDiscovery)
 	})
 	processes := faultInjector{r, rand.New(rand.NewPCG(r.seed, rng.Uint64()))}
@@ -240,12 +248,22 @@
 	ends.Wait()
 }
 
-// drawSignals returns how often SIGTERM is sent: once or twice, at random.
-func drawSignals(rng *rand.Rand) int {
-	if rng.IntN(2) == 0 {
-		return 2
+// signalSeries is a series of signals to a process, with a pause between two of them.
+type signalSeries struct {
+	signals []syscall.Signal
+	pause   time.Duration
+}
+
+// drawSignals returns the series that ends a process: SIGTERM once, or several signals of both
+// kinds at once or within a second.
+func drawSignals(rng *rand.Rand) signalSeries {
+	series := [][]syscall.Signal{
+		{syscall.SIGTERM},
+		{syscall.SIGTERM, syscall.SIGTERM},
+		{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM},
+		{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM},
 	}
-	return 1
+	return signalSeries{series[rng.IntN(len(series))], time.Duration(rng.IntN(250)) * time.Millisecond}
 }
 
 // stop stops the clients and the endpoints, and checks that the sidecars' processes ended without a
--- a/internal/testpeer/listen.go
+++ b/internal/testpeer/listen.go
@@ -19,6 +19,9 @@
 	return listenWith(t, setEthernetMSS)
 }
 
+// ListenConfigWithEthernetMSS is the configuration of a listener like ListenWithEthernetMSS's.
+func ListenConfigWithEthernetMSS() net.ListenConfig { return configWith(setEthernetMSS) }
+
 // ListenWithSmallBuffer returns a loopback listener, which is closed when the test ends. Its
 // connections have the segment size of an Ethernet and a small receive buffer: what is written to
 // them blocks early, where loopback's own buffers would hold megabytes.
@@ -35,7 +38,18 @@
 // listenWith returns a loopback listener whose socket has the options that set sets.
 func listenWith(t *testing.T, set func(fd int) error) net.Listener {
 	t.Helper()
-	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+	config := configWith(set)
+	l, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// configWith returns the configuration of a listener whose socket has the options that set sets.
+func configWith(set func(fd int) error) net.ListenConfig {
+	return net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 		var err error
 		controlErr := c.Control(func(fd uintptr) { err = set(int(fd)) })
 		if controlErr != nil {
@@ -43,12 +57,6 @@
 		}
 		return err
 	}}
-	l, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	return l
 }
 
 // setEthernetMSS sets the segment size of a socket.
