Daemon: end waits for operators that send or read nothing

The admin interface bounded the reading of a head alone; the wait for the rest of a request, for the next one, and for an operator that does not read the answer had no end.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -17,9 +17,10 @@
 )
 
 const (
-	adminHeaderTimeout = 5 * time.Second // for reading the header of a request to the admin interface
-	maxEndpointsListed = 1000            // endpoints per pool in one status response
-	adminListenerName  = "admin"         // the listener's name in the log
+	adminReadTimeout   = 5 * time.Second  // for reading a request to the admin interface
+	adminWriteTimeout  = 30 * time.Second // for handling such a request and writing the response
+	maxEndpointsListed = 1000             // endpoints per pool in one status response
+	adminListenerName  = "admin"          // the listener's name in the log
 )
 
 // Values in the status. The states of endpoints are also values of metric labels.
@@ -188,7 +189,9 @@
 // serveAdmin starts serving the admin interface. The returned function closes the interface and
 // waits for all goroutines of the daemon.
 func (d *Daemon) serveAdmin() (stop func()) {
-	server := &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: adminHeaderTimeout}
+	server := &http.Server{
+		Handler: d.adminHandler(), ReadTimeout: adminReadTimeout, WriteTimeout: adminWriteTimeout,
+	}
 	d.log.Info("listening", logkey.Listener, adminListenerName, logkey.Addr, d.admin.Addr().String())
 	retrying := httpserver.NewRetryingListener(d.admin, d.log)
 	d.tasks.Go(func() error { return ignoreClosed(server.Serve(retrying)) })
