Take a read that began with nothing unread for a wait for the client

The estimate of when a client sent its last byte fell back to an old value in the moment between the arrival of data and the end of the read that waits for it. A timer of the Balancer in that moment could give up on an upload whose client had paused. Read in the code; no run has shown it. Package httpserver passes under the race detector.

--- a/internal/httpserver/bodysource.go
+++ b/internal/httpserver/bodysource.go
@@ -13,6 +13,7 @@
 	reader    *connReader
 	pace      bodyPace
 	catchUp   catchUp
+	waits     atomic.Bool // a read is in progress that began when no data was waiting
 	abandoned atomic.Bool // no further read may begin, and one in progress is interrupted
 }
 
@@ -84,6 +85,8 @@
 // waited for the client.
 func (s *bodySource) observe(read func() error) error {
 	wasEmpty := s.reader.socket.unreadBytes() == 0
+	s.waits.Store(wasEmpty)
+	defer s.waits.Store(false)
 	began := time.Now()
 	err := read()
 	now := time.Now()
--- a/internal/httpserver/streamedbody.go
+++ b/internal/httpserver/streamedbody.go
@@ -108,10 +108,11 @@
 // sentAtDuringRead is SentAt while a read is in progress. If the read waits for the client, the
 // client has sent nothing that was not read. Otherwise the read is about to end.
 func (b *streamedBody) sentAtDuringRead(now time.Time) time.Time {
-	if latest := b.latestSentAt.Load(); latest != nil && b.socket.unreadBytes() > 0 {
-		return *latest
+	latest := b.latestSentAt.Load()
+	if latest == nil || b.source.waits.Load() {
+		return now
 	}
-	return now
+	return *latest
 }
 
 // arrivalTime returns when the last byte of the body arrived and true, or the earliest time at
