Drain: leave time to accept after the last slot has become free

Trace of the code: all slots are held by silent connections, which a drain closes after 2 s. The time now counts from when the drain last saw Accept wait for a slot, still within the deadline.

TestDrainLeavesTimeToAcceptAfterASlotIsFree makes that moment and failed before.

--- a/internal/httpserver/drain.go
+++ b/internal/httpserver/drain.go
@@ -86,7 +86,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	elapsed := now.Sub(start)
+	if l.waitsForSlot() {
+		l.slotsUsedAt = now
+	}
+	elapsed := now.Sub(later(start, l.slotsUsedAt)) // the accept loop needs time after a slot has become free
 	switch {
 	case l.isPaused(): // another process accepts the connections
 		return true
--- a/internal/httpserver/drain_test.go
+++ b/internal/httpserver/drain_test.go
@@ -85,6 +85,21 @@
 	requireStatus(t, queued, http.StatusOK)
 }
 
+// Guards against a listener that is closed in the moment between a slot's release and the accept.
+func TestDrainLeavesTimeToAcceptAfterASlotIsFree(t *testing.T) {
+	l := NewWaitingListener(listen(t), 1, 1)
+	defer l.Close()
+	start := time.Now().Add(-time.Minute)
+	l.slots <- struct{}{}
+	if l.mayStopAccepting(start, time.Time{}) {
+		t.Error("accepting may stop while a connection may be waiting for a slot")
+	}
+	<-l.slots
+	if l.mayStopAccepting(start, time.Time{}) {
+		t.Error("accepting may stop before the waiting connection could be accepted")
+	}
+}
+
 // A client that sends a request just as the drain closes its idle connection retries the request
 // on a new connection, which must still be accepted.
 func TestDrainAcceptsRetryAfterClose(t *testing.T) {
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -37,6 +37,7 @@
 	rejected       int           // total number of rejected connections
 	resumed        chan struct{} // closed by Resume; nil while the listener is not paused
 	acceptingSince time.Time     // when the accept in progress began; zero: no accept is in progress
+	slotsUsedAt    time.Time     // when a drain last saw that Accept was waiting for a slot; zero: never
 }
 
 // NewListener returns a Listener that closes connections while there are more than maxConns.
