--- a/internal/soak/clients_test.go
+++ b/internal/soak/clients_test.go
@@ -55,6 +55,7 @@
 	id       string
 	class    class
 	body     string
+	chunked  bool
 	deadline time.Duration
 }
 
@@ -72,11 +73,12 @@
 	if r.class.idempotency != idempotent {
 		r.body = strings.Repeat("b", c.rng.IntN(300))
 		if c.rng.IntN(longBodyOdds) == 0 {
-			longest := maxLongBody
+			shortest, longest := minLongBody, maxLongBody
 			if c.rng.IntN(longestBodyOdds) == 0 {
-				longest = longestBody
+				shortest, longest = unbufferedBody, longestBody
 			}
-			r.body = strings.Repeat("b", minLongBody+c.rng.IntN(longest-minLongBody))
+			r.body = strings.Repeat("b", shortest+c.rng.IntN(longest-shortest))
+			r.chunked = c.rng.IntN(2) == 0
 		}
 	}
 	return r
@@ -88,7 +90,8 @@
 	longBodyOdds    = 20        // one in this many bodies is long
 	minLongBody     = 60 << 10  // bytes
 	maxLongBody     = 600 << 10 // bytes
-	longestBodyOdds = 3         // one in this many long bodies may have longestBody
+	longestBodyOdds = 3         // one in this many long bodies is of unbufferedBody or more
+	unbufferedBody  = 2_100_000 // bytes; more than a sidecar keeps of one body
 	longestBody     = 3_000_000 // bytes
 )
 
@@ -104,6 +107,7 @@
 		ID:       r.id,
 		Deadline: r.deadline,
 		Body:     r.body,
+		Chunked:  r.chunked,
 	}
 	if r.class.idempotency == keyed {
 		sent.IdempotencyKey = r.id
--- a/internal/testpeer/client.go
+++ b/internal/testpeer/client.go
@@ -18,9 +18,12 @@
 	ID             string
 	Deadline       time.Duration
 	IdempotencyKey string // no header field if empty
-	Body           string // sent with a Content-Length, unless the method is GET
+	Body           string // sent with a Content-Length or in chunks, unless the method is GET
+	Chunked        bool   // the body is sent in chunks of chunkSize
 }
 
+const chunkSize = 16 << 10 // bytes
+
 // Text returns the request as it is sent on a connection.
 func (r Request) Text() string {
 	var b strings.Builder
@@ -30,16 +33,28 @@
 	if r.IdempotencyKey != "" {
 		fmt.Fprintf(&b, "%s: %s\r\n", platform.IdempotencyKeyHeader, r.IdempotencyKey)
 	}
-	if r.Method != http.MethodGet {
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
-	}
-	b.WriteString("\r\n")
-	if r.Method != http.MethodGet {
-		b.WriteString(r.Body)
+	switch {
+	case r.Method == http.MethodGet:
+		b.WriteString("\r\n")
+	case r.Chunked:
+		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+		r.writeChunks(&b)
+	default:
+		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(r.Body), r.Body)
 	}
 	return b.String()
 }
 
+// writeChunks writes the body in chunks.
+func (r Request) writeChunks(b *strings.Builder) {
+	for body := r.Body; len(body) > 0; {
+		n := min(len(body), chunkSize)
+		fmt.Fprintf(b, "%x\r\n%s\r\n", n, body[:n])
+		body = body[n:]
+	}
+	b.WriteString("0\r\n\r\n")
+}
+
 // ClientConn is a connection of a client. It can carry several requests in sequence.
 type ClientConn struct {
 	*net.TCPConn
