--- a/internal/discovery/watch/client.go
+++ b/internal/discovery/watch/client.go
@@ -70,6 +70,7 @@
 	// Only the goroutine of Run uses the fields below.
 
 	version     *int64 // of the latest message; nil: the complete list has to be fetched
+	hasApplied  bool   // a message has been applied
 	lastWarning time.Time
 }
 
--- a/internal/discovery/watch/watch.go
+++ b/internal/discovery/watch/watch.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"rowancart/internal/logkey"
 	"rowancart/internal/platform"
 )
 
@@ -134,9 +135,20 @@
 	}
 	c.version = list.Version
 	c.onUpdate(list)
+	c.logFirst(list)
 	return nil
 }
 
+// logFirst logs the first message that was applied.
+func (c *Client) logFirst(list platform.EndpointList) {
+	if c.hasApplied {
+		return
+	}
+	c.hasApplied = true
+	c.log.Info("first endpoint list from discovery", logkey.Version, *list.Version, "complete", list.Complete,
+		logkey.List, ProxyEndpointList(list))
+}
+
 // checkVersion returns an error if the list consists of changes and its version is older than the
 // known one, or none is known.
 func (c *Client) checkVersion(list platform.EndpointList) error {
--- a/internal/logkey/logkey.go
+++ b/internal/logkey/logkey.go
@@ -10,6 +10,8 @@
 	Listener   = "listener"   // name of a listener
 	Endpoint   = "endpoint"   // ID of an endpoint
 	Endpoints  = "endpoints"  // number of endpoints
+	List       = "list"       // an endpoint list: number of entries, and of draining ones
+	Version    = "version"    // version of an endpoint list
 	Pool       = "pool"       // name of a pool
 	Instance   = "instance"   // index of an instance in a fleet
 	PID        = "pid"        // ID of a process
--- a/internal/proxy/endpoints.go
+++ b/internal/proxy/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"log/slog"
 	"time"
 
 	"rowancart/balancer"
@@ -32,6 +33,17 @@
 	Unlisted  int // number of ready endpoints outside this instance's subset (see package subset)
 }
 
+// LogValue implements slog.LogValuer: the number of entries, and how many of them are draining.
+func (l EndpointList) LogValue() slog.Value {
+	draining := 0
+	for _, e := range l.Endpoints {
+		if e.State == balancer.Draining {
+			draining++
+		}
+	}
+	return slog.GroupValue(slog.Int("entries", len(l.Endpoints)), slog.Int("draining", draining))
+}
+
 // UpdateEndpoints applies an update from endpoint discovery.
 func (p *Pool) UpdateEndpoints(l EndpointList) {
 	p.handleEvent(func(now time.Duration) { p.applyEndpointList(now, l) })
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -148,7 +148,9 @@
 	}
 	known := c.KnownEndpoints
 	known.Complete = true // the configuration holds all endpoints, not only changes
-	s.pool = proxy.New(c.Settings.Settings, watch.ProxyEndpointList(known), proxy.Options{
+	initial := watch.ProxyEndpointList(known)
+	logInitialList(log, known.Version, initial)
+	s.pool = proxy.New(c.Settings.Settings, initial, proxy.Options{
 		IdleTimeout: c.Settings.ConnIdle,
 		DialTimeout: c.Settings.DialTimeout,
 		MaxConns:    c.Limits.maxConns(processesOutsideHandover),
@@ -159,6 +161,13 @@
 	})
 }
 
+// logInitialList logs the endpoint list that is in force until discovery sends one, if any.
+func logInitialList(log *slog.Logger, version *int64, list proxy.EndpointList) {
+	if version != nil {
+		log.Info("endpoint list in force", "source", "configuration", logkey.Version, *version, logkey.List, list)
+	}
+}
+
 // joinHandover applies the limits and registers this process among the processes of its sidecar.
 func (s *Sidecar) joinHandover(c Config, operations *operations, log *slog.Logger) {
 	s.handover = &handover{
--- a/internal/sidecar/snapshot.go
+++ b/internal/sidecar/snapshot.go
@@ -39,7 +39,8 @@
 		s.log.Warn("snapshot not restored", logkey.Err, err)
 	default:
 		s.pool.Restore(state, age)
-		s.log.Info("snapshot restored", logkey.Age, age, logkey.Endpoints, len(state.Learned.Endpoints))
+		list := proxy.EndpointList{Complete: true, Endpoints: state.Endpoints}
+		s.log.Info("snapshot restored", logkey.Age, age, logkey.Endpoints, len(state.Learned.Endpoints), logkey.List, list)
 	}
 }
 
