Share the newest endpoint list among the processes of a sidecar

Change: a file in the shared directory with the list, its version, the address of discovery and an epoch; each process stores its list there when it changes and takes over a newer one, at the start and while it runs. Discovery's answer always wins, also if its version went back (logged). Why it works: the next process starts with what any process was told.

--- a/cmd/sidecar/testplatform_test.go
+++ b/cmd/sidecar/testplatform_test.go
@@ -25,7 +25,8 @@
 type testPlatform struct {
 	program   string // path of the built program
 	sharedDir string
-	discovery string // address of the fake discovery
+	discovery string                // address of the fake discovery
+	known     platform.EndpointList // in the configuration
 	listener  *os.File
 	addr      string // address of listener
 }
@@ -85,6 +86,9 @@
 		Discovery: p.discovery,
 		Seed:      "1",
 		Limits:    platform.ConfigLimits{Cores: 1, MemoryMB: 64, Sockets: 256},
+
+		KnownEndpoints: p.known,
+
 		Settings: platform.SettingsObject{
 			Classes: []platform.ClassSettings{
 				{Name: "look", Idempotency: platform.Idempotent,
--- a/internal/discovery/watch/client.go
+++ b/internal/discovery/watch/client.go
@@ -30,9 +30,9 @@
 	// WaitForSubscribe also means that discovery is one service shared by all instances, and selects
 	// the timeouts and the backoff for such a service.
 	WaitForSubscribe bool
-	// Version is the version of the endpoint list that the caller has; nil: the Client fetches the
-	// complete list.
-	Version *int64
+	// Known is the origin of the endpoint list that the caller has; nil: it has none. Unless the list
+	// is a known version from Addr, the Client fetches the complete list.
+	Known *Origin
 	// DrainGrace is how long a draining endpoint may still be sent requests; 0: one second. The
 	// response timeout and the limits of the backoff depend on it unless WaitForSubscribe is set.
 	DrainGrace time.Duration
@@ -67,10 +67,15 @@
 	addrChanged bool               // guarded by mu; whether addr has changed since the latest watch was started
 	cancelWatch context.CancelFunc // guarded by mu; cancels the latest watch
 
+	// listMu is held while a list or changes are applied, so that origin is always that of the list in
+	// force. It is acquired before mu. It guards the next two fields.
+	listMu  sync.Mutex
+	origin  Origin
+	version *int64 // after which the next watch begins; nil: the complete list has to be fetched
+
 	// Only the goroutine of Run uses the fields below.
 
-	version     *int64 // of the latest message; nil: the complete list has to be fetched
-	hasApplied  bool   // a message has been applied
+	hasApplied  bool // a message has been applied
 	lastWarning time.Time
 }
 
@@ -84,7 +89,11 @@
 		onCurrent:  o.OnCurrent,
 		log:        o.Log,
 		addr:       o.Addr,
-		version:    o.Version,
+		origin:     UnknownOrigin(),
+	}
+	if o.Known != nil {
+		c.origin = *o.Known
+		c.version = c.origin.versionAt(o.Addr)
 	}
 	if o.WaitForSubscribe {
 		c.timing = sharedServiceTiming
@@ -117,6 +126,33 @@
 	}
 }
 
+// Adopt puts a list in force that another process of this instance has had from the same discovery,
+// if it is newer than the list in force. It calls apply to do so, and reports whether it did. The
+// watch is then opened again after that list.
+func (c *Client) Adopt(origin Origin, apply func()) bool {
+	c.listMu.Lock()
+	defer c.listMu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if origin.Addr != c.addr || origin.Compare(c.origin.Position) <= 0 {
+		return false
+	}
+	c.origin = origin
+	c.version = origin.versionAt(c.addr)
+	apply()
+	if c.cancelWatch != nil {
+		c.cancelWatch()
+	}
+	return true
+}
+
+// WithOrigin calls read with the origin of the list in force. The list does not change meanwhile.
+func (c *Client) WithOrigin(read func(Origin)) {
+	c.listMu.Lock()
+	defer c.listMu.Unlock()
+	read(c.origin)
+}
+
 // Run keeps a watch open until ctx ends. While no watch is open, the latest endpoint list stays in
 // use; the next watch delivers the changes since then.
 func (c *Client) Run(ctx context.Context) {
--- a/internal/discovery/watch/client_test.go
+++ b/internal/discovery/watch/client_test.go
@@ -39,8 +39,12 @@
 	t.Helper()
 	addr, calls := startDiscovery(t, steps...)
 	c := &testClient{updates: make(chan platform.EndpointList, 100), calls: calls}
-	c.Client = New(Options{Addr: addr, Version: &version, OnUpdate: func(l platform.EndpointList) { c.updates <- l },
-		Log: slog.New(slog.DiscardHandler)})
+	c.Client = New(Options{
+		Addr:     addr,
+		Known:    knownAt(addr, version),
+		OnUpdate: func(l platform.EndpointList) { c.updates <- l },
+		Log:      slog.New(slog.DiscardHandler),
+	})
 	c.timing.idleTimeout, c.timing.responseTimeout = waitTimeout, waitTimeout
 	if configure != nil {
 		configure(c.Client)
@@ -51,6 +55,11 @@
 	return c
 }
 
+// knownAt returns the origin of a list of a version from addr.
+func knownAt(addr string, version int64) *Origin {
+	return &Origin{Addr: addr, Position: Position{Version: version}}
+}
+
 // startDiscovery starts a fake discovery server that responds to each call with the next of steps.
 // It returns the server's address and the query strings of the calls.
 func startDiscovery(t *testing.T, steps ...testpeer.Step) (addr string, calls chan string) {
--- a/internal/discovery/watch/drain_test.go
+++ b/internal/discovery/watch/drain_test.go
@@ -34,9 +34,8 @@
 // through in-memory connections. Connections are refused while refuses returns true.
 func observeDrain(t *testing.T, options Options, discovery http.Handler, refuses func() bool) *drainObserver {
 	observer := &drainObserver{}
-	version := int64(41)
 	options.Addr = "127.0.0.1:1"
-	options.Version = &version
+	options.Known = knownAt(options.Addr, 41)
 	options.Log = slog.New(slog.DiscardHandler)
 	options.OnUpdate = func(list platform.EndpointList) {
 		if *list.Version == 42 {
--- a/internal/discovery/watch/watch.go
+++ b/internal/discovery/watch/watch.go
@@ -23,11 +23,19 @@
 // If the watchdog expires just as data arrives, the next watch starts after the latest version that
 // was applied. No change is missed; the cost is one more call.
 
-// startWatch returns the context of a new watch, its cancel function, and the address to watch. It
-// reads the address and registers the cancel function in one critical section, so that any later
-// SetAddress cancels the context.
-func (c *Client) startWatch(ctx context.Context) (context.Context, context.CancelFunc, string) {
+// watchStart is where a watch begins.
+type watchStart struct {
+	addr    string // of discovery
+	version *int64 // after which the watch begins; nil: the complete list has to be fetched before
+}
+
+// startWatch returns the context of a new watch, its cancel function, and where it begins. It reads
+// that and registers the cancel function in one critical section, so that any later SetAddress or
+// Adopt cancels the context.
+func (c *Client) startWatch(ctx context.Context) (context.Context, context.CancelFunc, watchStart) {
 	ctx, cancel := context.WithCancel(ctx)
+	c.listMu.Lock()
+	defer c.listMu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.addrChanged {
@@ -35,24 +43,24 @@
 		c.version = nil
 	}
 	c.cancelWatch = cancel
-	return ctx, cancel, c.addr
+	return ctx, cancel, watchStart{addr: c.addr, version: c.version}
 }
 
 // watch runs one watch until it ends. If no version is known, it fetches the complete list first.
 // It reports whether the watch delivered a message or an empty line, and returns the error that
 // ended the watch, which is never nil.
 func (c *Client) watch(ctx context.Context) (received bool, err error) {
-	ctx, cancel, addr := c.startWatch(ctx)
+	ctx, cancel, start := c.startWatch(ctx)
 	defer cancel()
 	watchdog := time.AfterFunc(c.timing.responseTimeout, cancel)
 	defer watchdog.Stop()
-	if c.version == nil {
-		if err := c.fetchList(ctx, addr); err != nil {
+	if start.version == nil {
+		if start.version, err = c.fetchList(ctx, start.addr); err != nil {
 			return false, err
 		}
 		watchdog.Reset(c.timing.responseTimeout)
 	}
-	body, err := c.get(ctx, addr, "?"+platform.WatchQuery(*c.version))
+	body, err := c.get(ctx, start.addr, "?"+platform.WatchQuery(*start.version))
 	if err != nil {
 		return false, err
 	}
@@ -65,7 +73,7 @@
 		}
 		watchdog.Reset(c.timing.idleTimeout)
 		if len(message) > 0 {
-			if err := c.applyMessage(message); err != nil {
+			if _, err := c.applyMessage(ctx, start.addr, message); err != nil {
 				return received, err
 			}
 		}
@@ -76,18 +84,18 @@
 	}
 }
 
-// fetchList fetches and applies the complete list.
-func (c *Client) fetchList(ctx context.Context, addr string) error {
+// fetchList fetches and applies the complete list, and returns its version.
+func (c *Client) fetchList(ctx context.Context, addr string) (version *int64, err error) {
 	body, err := c.get(ctx, addr, "")
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer body.Close()
 	text, err := io.ReadAll(io.LimitReader(body, maxMessageBytes))
 	if err != nil {
-		return fmt.Errorf("endpoint list: %w", err)
+		return nil, fmt.Errorf("endpoint list: %w", err)
 	}
-	return c.applyMessage(text)
+	return c.applyMessage(ctx, addr, text)
 }
 
 // StatusError reports that discovery responded with a status other than 200.
@@ -119,24 +127,44 @@
 	return resp.Body, nil
 }
 
-// applyMessage validates a message, passes it to onUpdate and adopts its version. After an invalid
-// message, or one with changes of a version older than the known one, changes may have been missed.
-// The known version is then discarded, so that the complete list is fetched before the next watch.
-// The version is set only together with a call of onUpdate, by the same goroutine: a known version
-// is always that of the latest message passed to onUpdate.
-func (c *Client) applyMessage(text []byte) error {
+// applyMessage validates a message from discovery at addr, passes it to onUpdate, adopts its
+// version and returns it. After an invalid message, or one with changes of a version older than the
+// known one, changes may have been missed. The known version is then discarded, so that the
+// complete list is fetched before the next watch. The version is set only together with a call of
+// onUpdate, or by Adopt: a known version is always that of the list in force. A message of a watch
+// that was canceled meanwhile is not applied, since the list in force may be a later one.
+func (c *Client) applyMessage(ctx context.Context, addr string, text []byte) (version *int64, err error) {
 	list, err := platform.ParseEndpointList(text)
+	c.listMu.Lock()
+	defer c.listMu.Unlock()
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	if err == nil {
 		err = c.checkVersion(list)
 	}
 	if err != nil {
 		c.version = nil
-		return fmt.Errorf("malformed message: %w", err)
+		return nil, fmt.Errorf("malformed message: %w", err)
 	}
+	c.logRestart(addr, *list.Version)
+	c.origin = c.origin.next(addr, *list.Version)
 	c.version = list.Version
 	c.onUpdate(list)
 	c.logFirst(list)
-	return nil
+	return list.Version, nil
+}
+
+// logRestart logs that versions have begun anew, if they have. They have at another address. At the
+// same one discovery has lost its state, and its list is taken all the same.
+func (c *Client) logRestart(addr string, version int64) {
+	switch {
+	case !c.origin.hasRestarted(addr, version):
+	case addr != c.origin.Addr:
+		c.log.Info("endpoint list from another address", logkey.Addr, addr, logkey.Version, version)
+	default:
+		c.log.Warn("version of the endpoint list went back", logkey.Version, version, "replaced", c.origin.Version)
+	}
 }
 
 // logFirst logs the first message that was applied.
--- a/internal/hotrestart/shareddir.go
+++ b/internal/hotrestart/shareddir.go
@@ -17,6 +17,7 @@
 	sharedDirPrefix = "rowancart-" // followed by the escaped name of the sidecar
 	disabledDir     = "bans"       // directory with one empty file for each disabled endpoint
 	snapshotFile    = "learned"
+	endpointsFile   = "endpoint-list"
 	recentIDsFile   = "recent-ids"
 )
 
@@ -75,6 +76,10 @@
 // successor reads it, both by package snapshot.
 func (d *SharedDir) SnapshotPath() string { return filepath.Join(d.path, snapshotFile) }
 
+// EndpointListPath returns the path of the newest endpoint list that any of the processes has had.
+// Package snapshot defines its format.
+func (d *SharedDir) EndpointListPath() string { return filepath.Join(d.path, endpointsFile) }
+
 // OpenRecentIDs opens the file in which the processes keep the ids of recent requests, and creates
 // it if needed. Package recentids defines its content.
 func (d *SharedDir) OpenRecentIDs() (*os.File, error) {
--- a/internal/proxy/endpointset.go
+++ b/internal/proxy/endpointset.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 
 	"rowancart/balancer"
@@ -38,6 +40,11 @@
 // remove removes an endpoint from the listed ones. If it is disabled, it stays so.
 func (s *endpointSet) remove(id string) { delete(s.listed, id) }
 
+// sorted returns the listed endpoints, sorted by id.
+func (s *endpointSet) sorted() []Endpoint {
+	return slices.SortedFunc(maps.Values(s.listed), func(x, y Endpoint) int { return cmp.Compare(x.ID, y.ID) })
+}
+
 // idsNotIn returns the ids of the listed endpoints that are missing from a new complete list.
 func (s *endpointSet) idsNotIn(list []Endpoint) []string {
 	missing := maps.Clone(s.listed)
--- a/internal/proxy/snapshot.go
+++ b/internal/proxy/snapshot.go
@@ -1,8 +1,6 @@
 package proxy
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -17,22 +15,27 @@
 	Endpoints []Endpoint            `json:"Members"`
 }
 
+// ListedEndpoints returns the endpoint list in force, sorted by id.
+func (p *Pool) ListedEndpoints() []Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.endpoints.sorted()
+}
+
 // Snapshot returns the current state, with the endpoints sorted by id.
 func (p *Pool) Snapshot() Snapshot {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return Snapshot{
-		Learned: p.balancer.LearnedState(p.clock.now()),
-		Endpoints: slices.SortedFunc(maps.Values(p.endpoints.listed), func(x, y Endpoint) int {
-			return cmp.Compare(x.ID, y.ID)
-		}),
+		Learned:   p.balancer.LearnedState(p.clock.now()),
+		Endpoints: p.endpoints.sorted(),
 	}
 }
 
 // Restore restores the learned state of an earlier Pool from a snapshot that was taken age ago. It
-// does not restore the endpoints themselves: only endpoint discovery determines which endpoints
-// exist. The learned state of an endpoint is dropped if the endpoint is no longer listed, or if its
-// address or start time has changed since.
+// does not restore the endpoint list, which must be in force already. The learned state of an
+// endpoint is dropped if the endpoint is no longer listed, or if its address or start time has
+// changed since.
 func (p *Pool) Restore(s Snapshot, age time.Duration) {
 	p.handleEvent(func(now time.Duration) {
 		earlier := map[string]Endpoint{}
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"rowancart/internal/discovery/watch"
 	"rowancart/internal/hotrestart"
 	"rowancart/internal/httpserver"
 	"rowancart/internal/logkey"
@@ -22,8 +23,8 @@
 
 // handover carries out this process's side of a process handover; package hotrestart defines the
 // terms. It detects peer processes, pauses accepting connections while this process is superseded,
-// halves the limits while a peer process is running, and passes the learned state on to the
-// successor.
+// halves the limits while a peer process is running, shares the newest endpoint list with them, and
+// passes the learned state on to the successor.
 //
 // Operations on the shared directory may fail temporarily at any time. Each check of the directory
 // retries those that have failed. Without a shared directory there are no peer processes: snapshots
@@ -33,12 +34,16 @@
 	snapshots  *snapshotStore
 	server     *httpserver.Server
 	listener   *httpserver.Listener
+	discovery  *watch.Client
 	operations *operations
 	readiness  *readiness
 	log        *slog.Logger
 
+	listChanged chan struct{} // receives a value after the endpoint list has changed
+
 	mu              sync.Mutex // held for an entire check, which reads files; guards the fields below
 	registration    registration
+	endpointList    *endpointListFile // nil without a shared directory
 	phase           handoverPhase
 	peerRunning     bool      // a peer process is running, serving or not
 	disabledApplied bool      // the disabled endpoints in the shared directory have been applied at least once
@@ -57,8 +62,12 @@
 	sharedDir := hotrestart.NewSharedDir(sharedDirParent, name)
 	h.registration.sharedDir = sharedDir
 	h.snapshots = &snapshotStore{path: sharedDir.SnapshotPath(), pool: h.limits.pool, log: h.log}
+	h.endpointList = &endpointListFile{
+		path: sharedDir.EndpointListPath(), pool: h.limits.pool, discovery: h.discovery, log: h.log,
+	}
 	h.operations.sharedDir = sharedDir
 	h.snapshots.removeLeftovers()
+	h.endpointList.removeLeftovers()
 	h.checkSharedDir()
 }
 
@@ -146,6 +155,14 @@
 	}
 }
 
+// endpointListChanged makes run store the endpoint list without delay.
+func (h *handover) endpointListChanged() {
+	select {
+	case h.listChanged <- struct{}{}:
+	default: // a check is already pending
+	}
+}
+
 // run checks the shared directory and writes snapshots until ctx ends, then unregisters this
 // process.
 func (h *handover) run(ctx context.Context) {
@@ -160,6 +177,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+		case <-h.listChanged:
 		}
 		h.checkSharedDir()
 		if err := h.writeSnapshotIfDue(); err != nil {
@@ -175,10 +193,14 @@
 	h.warnSharedDirFailedLocked(err)
 }
 
-// unregister removes this process's registration from the shared directory.
+// unregister stores the last endpoint list, and removes this process's registration from the shared
+// directory.
 func (h *handover) unregister() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if err := h.endpointList.sync(); err != nil {
+		h.warnSharedDirFailedLocked(err)
+	}
 	h.registration.unregister()
 }
 
--- a/internal/sidecar/shareddircheck.go
+++ b/internal/sidecar/shareddircheck.go
@@ -12,15 +12,17 @@
 const sharedDirWarnInterval = 10 * time.Second
 
 // checkSharedDir performs the writes to the shared directory that are outstanding, and applies what
-// has changed there since the last check: the peer processes, and the endpoints that were disabled
-// or enabled through them. State that can't be read stays as it was at the last check.
+// has changed there since the last check: the peer processes, their endpoint list if it is newer,
+// and the endpoints that were disabled or enabled through them. State that can't be read stays as
+// it was at the last check.
 func (h *handover) checkSharedDir() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	registerErr := h.registration.update()
 	disabledErr := h.syncDisabledLocked()
+	listErr := h.endpointList.sync()
 	peersErr := h.checkPeerProcessesLocked()
-	if err := errors.Join(registerErr, disabledErr, peersErr); err != nil {
+	if err := errors.Join(registerErr, disabledErr, listErr, peersErr); err != nil {
 		h.warnSharedDirFailedLocked(err)
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -128,14 +128,21 @@
 	return retryTransient(func() (net.Listener, error) { return net.Listen("tcp", addr) })
 }
 
-// connectDiscovery creates the pool and the discovery client, which use each other.
+// connectDiscovery creates the pool and the discovery client, which use each other. Both begin with
+// the newest endpoint list that is known.
 func (s *Sidecar) connectDiscovery(c Config, log *slog.Logger) {
+	known := initialList(c, log)
+	initial := proxy.EndpointList{Complete: true, Endpoints: known.Endpoints}
+	logInitialList(log, known, initial)
 	s.discovery = watch.New(watch.Options{
 		Addr:             c.Discovery,
 		WaitForSubscribe: c.Settings.SubscribeRequired,
-		Version:          c.KnownEndpoints.Version,
+		Known:            &known.Origin,
 		DrainGrace:       c.Settings.DrainGrace,
-		OnUpdate:         func(list platform.EndpointList) { s.pool.UpdateEndpoints(watch.ProxyEndpointList(list)) },
+		OnUpdate: func(list platform.EndpointList) {
+			s.pool.UpdateEndpoints(watch.ProxyEndpointList(list))
+			s.handover.endpointListChanged()
+		},
 		OnCurrent: func() {
 			s.pool.MarkListCurrent()
 			s.readiness.markListReceived()
@@ -146,10 +153,6 @@
 	if err != nil {
 		log.Warn("recent ids not shared", logkey.Err, err)
 	}
-	known := c.KnownEndpoints
-	known.Complete = true // the configuration holds all endpoints, not only changes
-	initial := watch.ProxyEndpointList(known)
-	logInitialList(log, known.Version, initial)
 	s.pool = proxy.New(c.Settings.Settings, initial, proxy.Options{
 		IdleTimeout: c.Settings.ConnIdle,
 		DialTimeout: c.Settings.DialTimeout,
@@ -162,9 +165,9 @@
 }
 
 // logInitialList logs the endpoint list that is in force until discovery sends one, if any.
-func logInitialList(log *slog.Logger, version *int64, list proxy.EndpointList) {
-	if version != nil {
-		log.Info("endpoint list in force", "source", "configuration", logkey.Version, *version, logkey.List, list)
+func logInitialList(log *slog.Logger, known knownList, list proxy.EndpointList) {
+	if len(list.Endpoints) > 0 {
+		log.Info("endpoint list in force", "source", string(known.source), logkey.Version, known.Version, logkey.List, list)
 	}
 }
 
@@ -174,9 +177,12 @@
 		limits:     &limitEnforcer{limits: c.Limits, pool: s.pool, server: s.server, listener: s.listener, memory: s.memory},
 		server:     s.server,
 		listener:   s.listener,
+		discovery:  s.discovery,
 		operations: operations,
 		readiness:  s.readiness,
 		log:        log,
+
+		listChanged: make(chan struct{}, 1),
 	}
 	s.handover.join(sharedDirParent(c), c.Name)
 }
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -93,32 +93,55 @@
 // file older than maxAge is not used. The error wraps one of the reasons above unless a file system
 // operation failed.
 func Read(path string, now time.Time, maxAge time.Duration, value any) (age time.Duration, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("snapshot %s: %w", path, err)
-		}
-	}()
-	text, err := readFile(path)
-	if err != nil {
-		return 0, err
-	}
-	f, err := decode(text)
+	f, err := open(path)
 	if err != nil {
-		return 0, err
+		return 0, fmt.Errorf("snapshot %s: %w", path, err)
 	}
 	age = now.Sub(f.writtenAt())
 	switch {
 	case age < -maxClockSkew:
-		return 0, fmt.Errorf("%w: %v ahead of this machine's clock", ErrFromFuture, -age.Round(time.Second))
+		err = fmt.Errorf("%w: %v ahead of this machine's clock", ErrFromFuture, -age.Round(time.Second))
 	case age > maxAge:
-		return 0, fmt.Errorf("%w: age %v, maximum %v", ErrExpired, age.Round(time.Second), maxAge)
+		err = fmt.Errorf("%w: age %v, maximum %v", ErrExpired, age.Round(time.Second), maxAge)
+	default:
+		err = f.unmarshal(value)
 	}
-	if err := json.Unmarshal(f.content, value); err != nil {
-		return 0, ErrCorrupt
+	if err != nil {
+		return 0, fmt.Errorf("snapshot %s: %w", path, err)
 	}
 	return max(age, 0), nil
 }
 
+// ReadAnyAge is like Read for content whose use doesn't depend on its age. It returns the time of
+// writing.
+func ReadAnyAge(path string, value any) (writtenAt time.Time, err error) {
+	f, err := open(path)
+	if err == nil {
+		err = f.unmarshal(value)
+	}
+	if err != nil {
+		return time.Time{}, fmt.Errorf("snapshot %s: %w", path, err)
+	}
+	return f.writtenAt(), nil
+}
+
+// open reads and decodes the file at path.
+func open(path string) (file, error) {
+	text, err := readFile(path)
+	if err != nil {
+		return file{}, err
+	}
+	return decode(text)
+}
+
+// unmarshal decodes the content into value.
+func (f file) unmarshal(value any) error {
+	if json.Unmarshal(f.content, value) != nil {
+		return ErrCorrupt
+	}
+	return nil
+}
+
 // readFile returns the text of the file at path.
 func readFile(path string) ([]byte, error) {
 	f, err := os.Open(path)
--- a/internal/testpeer/fakediscovery.go
+++ b/internal/testpeer/fakediscovery.go
@@ -104,6 +104,19 @@
 	d.changed = make(chan struct{})
 }
 
+// LoseState replaces the list with one whose versions begin anew, and aborts the connections of the
+// open watches.
+func (d *FakeDiscovery) LoseState(endpoints ...platform.Endpoint) {
+	d.mu.Lock()
+	d.version = 0
+	clear(d.listed)
+	d.mu.Unlock()
+	d.AbortWatches()
+	for _, e := range endpoints {
+		d.Publish(e)
+	}
+}
+
 // SilenceWatches makes the open watches send nothing more. Their connections stay open.
 func (d *FakeDiscovery) SilenceWatches() {
 	d.mu.Lock()
@@ -186,10 +199,14 @@
 	d := w.discovery
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.version > w.version && d.epoch == w.epoch {
+	switch {
+	case d.epoch != w.epoch:
+	case d.version > w.version:
 		line = listLine(platform.Changes(d.version, d.endpointsAfterLocked(w.version)...))
+	case d.version < w.version: // the client's version is of a list that this agent does not know
+		line = listLine(platform.CompleteList(d.version, d.endpointsAfterLocked(0)...))
 	}
-	w.version = max(w.version, d.version)
+	w.version = d.version
 	return line, d.changed
 }
 
