Daemon: pass endpoint lists and learned state to a successor in a file in memory

Callers saw: after a hand-over while discovery was silent, every request got 503 without a state block, as the successor had no endpoints; what only the predecessor was told later never reached the successor. Why it works: until its own source speaks, the successor knows what its predecessor knows.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,6 +54,7 @@
 	requestIDs requestIDs
 	recentIDs  sharedIDs
 	restored   restoredSnapshot // snapshot for the first pools; zero once Run has started them
+	inherited  *handoverState   // of the predecessor; nil if there is none
 	snapshots  snapshotWriter
 
 	runCtx context.Context // stops the pools when it ends; nil before Run; guarded by reloadMu
@@ -115,7 +116,8 @@
 	}
 	d.metrics = newMetrics(d)
 	d.logWarnings(c)
-	d.restored = restoreSnapshot(c, d.log)
+	d.inherited = d.handover.inheritHandoverState()
+	d.restored = d.restoreState(c)
 	opened, err := d.openInitialListeners(c)
 	if err != nil {
 		return nil, err
@@ -200,6 +202,12 @@
 	}
 	d.mu.RUnlock()
 	d.restored = restoredSnapshot{} // pools that a reload adds are not restored from it
+	if d.inherited != nil {
+		d.tasks.Go(func() error {
+			d.followState(runCtx, d.inherited)
+			return nil
+		})
+	}
 	return d.current.config.Text
 }
 
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -77,12 +77,20 @@
 	timeout := d.current.config.Limits.HandoverTimeout
 	sockets := d.openSockets()
 	d.mu.RUnlock()
-	s, err := successor.Start(d.handover.newSuccessor(), sockets, d.recentIDs.files())
+	files := d.recentIDs.files()
+	state := d.shareState()
+	if state != nil {
+		files[handoverStateFile] = state.file
+	}
+	s, err := successor.Start(d.handover.newSuccessor(), sockets, files)
 	if err == nil {
 		d.log.Info("handover started", logkey.PID, s.Pid, logkey.Timeout, timeout)
 		err = s.Wait(ctx, timeout)
 	}
 	if err != nil {
+		if state != nil {
+			state.stop()
+		}
 		d.log.Error("handover failed", logkey.Err, err)
 		d.handover.failed <- struct{}{}
 		return
@@ -91,6 +99,13 @@
 	close(d.handover.completed)
 }
 
+// servingContext returns the context that ends when this process has answered its last request.
+func (d *Daemon) servingContext() context.Context {
+	d.reloadMu.Lock()
+	defer d.reloadMu.Unlock()
+	return d.runCtx
+}
+
 // openSockets returns the sockets that a successor inherits, by their configured address. The
 // caller must hold d.mu.
 func (d *Daemon) openSockets() map[string]net.Listener {
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -7,6 +7,7 @@
 	"reflect"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rowancart/balancer"
@@ -38,6 +39,8 @@
 	filter   endpointFilter
 	source   sourceStatus
 
+	listChanges *atomic.Int64 // number of updates of endpoint lists, of all pools
+
 	// Guarded by Daemon.reloadMu.
 	settings poolSettings
 	runCtx   context.Context
@@ -58,8 +61,9 @@
 type endpointFilter struct {
 	// mu is held while an update is filtered and delivered, so that updates are delivered in the
 	// order in which they were filtered.
-	mu     sync.Mutex
-	filter *subset.Filter
+	mu       sync.Mutex
+	filter   *subset.Filter
+	received bool // the source has sent a list
 }
 
 // reset removes all endpoints from the filter and sets the subset.
@@ -84,6 +88,30 @@
 	deliver(f.filter.Apply(update))
 }
 
+// updateFromSource is update with an update that the source has sent.
+func (f *endpointFilter) updateFromSource(update proxy.EndpointList, deliver func(proxy.EndpointList)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.received = true
+	deliver(f.filter.Apply(update))
+}
+
+// updateUnlessListed is update unless the source has sent a list.
+func (f *endpointFilter) updateUnlessListed(update proxy.EndpointList, deliver func(proxy.EndpointList)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.received {
+		deliver(f.filter.Apply(update))
+	}
+}
+
+// hasList reports whether the source has sent a list.
+func (f *endpointFilter) hasList() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.received
+}
+
 // endpoints returns all endpoints of the source, including those outside this instance's subset.
 func (f *endpointFilter) endpoints() []proxy.Endpoint {
 	f.mu.Lock()
@@ -173,6 +201,8 @@
 		ids:      d.recentIDs.set,
 		log:      d.log.With(logkey.Pool, c.Name),
 		restored: d.restored.pool(c.Name),
+
+		listChanges: &d.snapshots.listChanges,
 	}
 	p.init()
 	return p
@@ -209,12 +239,19 @@
 	return spec
 }
 
-// updateEndpoints applies an update of the endpoint list.
-func (p *pool) updateEndpoints(update proxy.EndpointList) {
-	p.filter.update(update, func(list proxy.EndpointList) {
+// updateFromSource applies an update of the endpoint list that the source has sent.
+func (p *pool) updateFromSource(update proxy.EndpointList) {
+	p.filter.updateFromSource(update, func(list proxy.EndpointList) {
 		p.proxy.UpdateEndpoints(list)
 		p.source.set(nil)
 	})
+	p.listChanges.Add(1)
+}
+
+// updateEndpoints applies an update of the endpoint list that the configuration causes.
+func (p *pool) updateEndpoints(update proxy.EndpointList) {
+	p.filter.update(update, p.proxy.UpdateEndpoints)
+	p.listChanges.Add(1)
 }
 
 // staticEndpoints returns the endpoint list of a static source, and an empty list for other
@@ -325,12 +362,12 @@
 	switch source := p.settings.config.Source; {
 	case source.File != "":
 		p.watcher = startWatcher(p.runCtx, func(ctx context.Context) {
-			file.Follow(ctx, source.File, p.updateEndpoints, p.source.set, p.log)
+			file.Follow(ctx, source.File, p.updateFromSource, p.source.set, p.log)
 		})
 	case source.Platform != "":
 		client := watch.New(watch.Options{
 			Addr:     source.Platform,
-			OnUpdate: func(update platform.EndpointList) { p.updateEndpoints(watch.ProxyEndpointList(update)) },
+			OnUpdate: func(update platform.EndpointList) { p.updateFromSource(watch.ProxyEndpointList(update)) },
 			Log:      p.log,
 		})
 		p.watcher = startWatcher(p.runCtx, client.Run)
--- a/internal/daemon/recentids.go
+++ b/internal/daemon/recentids.go
@@ -40,8 +40,9 @@
 
 // files returns what a successor inherits.
 func (s *sharedIDs) files() map[string]*os.File {
-	if s.file == nil {
-		return nil
+	files := map[string]*os.File{}
+	if s.file != nil {
+		files[recentIDsFile] = s.file
 	}
-	return map[string]*os.File{recentIDsFile: s.file}
+	return files
 }
--- a/internal/daemon/snapshot.go
+++ b/internal/daemon/snapshot.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rowancart/internal/config"
@@ -77,6 +78,18 @@
 	return fmt.Sprintf("%s/index-%d", host, f.Index)
 }
 
+// restoreState returns the state of the predecessor, if there is one, or else that of the snapshot.
+func (d *Daemon) restoreState(c *config.Config) restoredSnapshot {
+	if d.inherited != nil {
+		restored, err := d.restoreInherited(d.inherited)
+		if err == nil {
+			return restored
+		}
+		d.log.Warn("state of the predecessor not restored", logkey.Err, err)
+	}
+	return restoreSnapshot(c, d.log)
+}
+
 // restoreSnapshot reads the snapshot of the previous process. If a path is configured, it
 // logs one line, whether or not the snapshot can be restored.
 func restoreSnapshot(c *config.Config, log *slog.Logger) restoredSnapshot {
@@ -112,19 +125,22 @@
 
 // snapshotWriter writes snapshots to a file, which it keeps locked. It is safe for concurrent use.
 type snapshotWriter struct {
-	log *slog.Logger
+	log         *slog.Logger
+	listChanges atomic.Int64 // number of updates of endpoint lists, of all pools
 
 	mu      sync.Mutex // guards the fields below
 	path    string     // of the file that lock is for
 	lock    io.Closer  // nil if the file is not locked
 	savedAt time.Time
-	failing bool // the latest write failed, and the failure was logged
+	saved   int64 // value of listChanges at the latest attempt to write
+	failing bool  // the latest write failed, and the failure was logged
 }
 
-// save writes a snapshot of the current generation; in mode savePeriodic, only if one is due. While
-// another process, such as a predecessor that is still draining, holds the file's lock, the file is
-// left to that process, and the write counts as failed. A failed write is retried when the next
-// snapshot is due. Of consecutive failures, only the first is logged.
+// save writes a snapshot of the current generation; in mode savePeriodic, only if one is due: at
+// the configured interval, and after a change of an endpoint list. While another process, such as a
+// predecessor that is still draining, holds the file's lock, the file is left to that process, and
+// the write counts as failed. A failed write is retried when the next snapshot is due. Of
+// consecutive failures, only the first is logged.
 func (w *snapshotWriter) save(mode saveMode, current func() *generation) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -134,12 +150,14 @@
 		w.unlock()
 		w.path = c.Path
 	}
-	isDue := mode != savePeriodic || time.Since(w.savedAt) >= c.Interval
+	changes := w.listChanges.Load()
+	isDue := mode != savePeriodic || changes != w.saved || time.Since(w.savedAt) >= c.Interval
 	if c.Path == "" || !isDue {
 		return
 	}
 	w.logResult(w.write(g))
 	w.savedAt = time.Now()
+	w.saved = changes
 	if mode == saveFinal {
 		w.unlock()
 	}
--- a/internal/snapshot/format.go
+++ b/internal/snapshot/format.go
@@ -32,9 +32,9 @@
 	content []byte // a JSON value
 }
 
-// encode returns the text of a snapshot file with a value as its content. now is the time of
+// Encode returns the text of a snapshot file with a value as its content. now is the time of
 // writing.
-func encode(now time.Time, value any) ([]byte, error) {
+func Encode(now time.Time, value any) ([]byte, error) {
 	content, err := json.Marshal(value)
 	if err != nil {
 		return nil, err
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -67,7 +67,7 @@
 // replaceFile writes a temporary file, syncs it and renames it to path. Without the sync, the
 // rename could reach the disk before the content of the file.
 func replaceFile(path string, now time.Time, value any, sync func(*os.File) error) error {
-	text, err := encode(now, value)
+	text, err := Encode(now, value)
 	if err != nil {
 		return fmt.Errorf("snapshot %s: %w", path, err)
 	}
@@ -115,14 +115,24 @@
 // ReadAnyAge is like Read for content whose use doesn't depend on its age. It returns the time of
 // writing.
 func ReadAnyAge(path string, value any) (writtenAt time.Time, err error) {
-	f, err := open(path)
+	text, err := readFile(path)
 	if err == nil {
-		err = f.unmarshal(value)
+		writtenAt, err = Decode(text, value)
 	}
 	if err != nil {
 		return time.Time{}, fmt.Errorf("snapshot %s: %w", path, err)
 	}
-	return f.writtenAt(), nil
+	return writtenAt, nil
+}
+
+// Decode decodes the text of a snapshot file into value, and returns its time of writing. The error
+// wraps ErrCorrupt or ErrVersion.
+func Decode(text []byte, value any) (writtenAt time.Time, err error) {
+	f, err := decode(text)
+	if err != nil {
+		return time.Time{}, err
+	}
+	return f.writtenAt(), f.unmarshal(value)
 }
 
 // open reads and decodes the file at path.
