Daemon: a replaced pool hears what the new source says of endpoints both know

Cause: the old pool follows its old source alone, which has moved and says nothing more. Change: a pool passes its source's updates on to the pools it has replaced that still have requests, for endpoints with the same id and address in both.

--- a/internal/daemon/generation.go
+++ b/internal/daemon/generation.go
@@ -132,7 +132,11 @@
 			p = old.pools[pc.Name]
 		}
 		if p == nil || !canReusePool(p.settings.config.Source, pc.Source) {
+			replaced := p
 			p = d.newPool(pc, g)
+			if replaced != nil {
+				p.replaced.set(append(replaced.replaced.all(), replaced))
+			}
 			d.pools = append(d.pools, p)
 			if d.runCtx != nil { // otherwise Run starts the pool
 				d.startPool(p)
@@ -240,5 +244,8 @@
 		}
 		return !isUsed
 	})
+	for _, p := range d.pools {
+		p.replaced.retain(d.pools)
+	}
 	d.configurePools(d.current)
 }
--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -38,6 +38,7 @@
 	restored restoredPool
 	filter   endpointFilter
 	source   sourceStatus
+	replaced replacedPools
 
 	listChanges *atomic.Int64 // number of updates of endpoint lists, of all pools
 
@@ -241,10 +242,12 @@
 
 // updateFromSource applies an update of the endpoint list that the source has sent.
 func (p *pool) updateFromSource(update proxy.EndpointList) {
+	before := p.filter.endpoints()
 	p.filter.updateFromSource(update, func(list proxy.EndpointList) {
 		p.proxy.UpdateEndpoints(list)
 		p.source.set(nil)
 	})
+	p.updateReplaced(before, update)
 	p.listChanges.Add(1)
 }
 
